--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,180 @@
+//! The running daemon: threads at the edges, one thread for the controller itself.
+
+use crate::api::{self, Parsed};
+use crate::fleet::{CloudClient, CloudRequest};
+use crate::node::{Effect, Event, Node};
+use crate::peer::{self, Frame, Reply};
+use crate::settings::Settings;
+use crate::store::{StoreClient, StoreRequest};
+use crate::units::Micros;
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Threads that read requests; a client that sends slowly holds up one of them.
+const READERS: usize = 4;
+/// Threads that wait for the state service.
+const STORE_THREADS: usize = 4;
+/// Events that wait for the controller's thread; requests beyond that are turned away at once.
+const QUEUE: usize = 2000;
+/// Events taken between two rounds of reconciling.
+const BATCH: usize = 64;
+
+enum Inbound {
+    Event(Event),
+    Request(u64, tiny_http::Request, Event),
+}
+
+/// Why the daemon can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// A port can't be taken.
+    #[error("{0}: {1}")]
+    Listen(String, String),
+}
+
+fn answer(request: tiny_http::Request, r: Reply) {
+    let mut response = tiny_http::Response::from_string(r.body).with_status_code(r.status);
+    if let Ok(h) = tiny_http::Header::from_bytes("Content-Type", "application/json") {
+        response.add_header(h);
+    }
+    if let Some(s) = r.retry_after
+        && let Ok(h) = tiny_http::Header::from_bytes("Retry-After", s.to_string())
+    {
+        response.add_header(h);
+    }
+    // A client that is gone needs no answer.
+    let _ = request.respond(response);
+}
+
+fn reader(server: Arc<tiny_http::Server>, tickets: Arc<AtomicU64>, tx: Sender<Inbound>) {
+    loop {
+        let mut request = match server.recv() {
+            Ok(r) => r,
+            Err(e) => {
+                tracing::debug!(reason = %e, "request not received");
+                std::thread::sleep(Duration::from_millis(20));
+                continue;
+            }
+        };
+        let ticket = tickets.fetch_add(1, Ordering::Relaxed);
+        let method = request.method().as_str().to_owned();
+        let url = request.url().to_owned();
+        match api::parse(ticket, &method, &url, |limit| api::body(request.as_reader(), limit)) {
+            Parsed::Answer(r) => answer(request, r),
+            Parsed::Event(e) => {
+                if tx.len() >= QUEUE {
+                    answer(request, Reply::later("overloaded"));
+                } else if tx.send(Inbound::Request(ticket, request, e)).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Runs a controller until the process ends.
+pub fn run(settings: Settings) -> Result<(), DaemonError> {
+    let start = Instant::now();
+    let (tx, rx): (Sender<Inbound>, Receiver<Inbound>) = unbounded();
+
+    let frames = tx.clone();
+    peer::listen(settings.back, move |f: Frame| {
+        let _ = frames.send(Inbound::Event(Event::Frame(Box::new(f))));
+    })
+    .map_err(|e| DaemonError::Listen(format!("back {}", settings.back), e.to_string()))?;
+
+    let server = tiny_http::Server::http(settings.api)
+        .map_err(|e| DaemonError::Listen(format!("api_addr {}", settings.api), e.to_string()))?;
+    let server = Arc::new(server);
+    let tickets = Arc::new(AtomicU64::new(1));
+    for _ in 0..READERS {
+        let (server, tickets, tx) = (server.clone(), tickets.clone(), tx.clone());
+        std::thread::spawn(move || reader(server, tickets, tx));
+    }
+
+    let links: HashMap<usize, Sender<Frame>> = settings
+        .seeds
+        .iter()
+        .filter_map(|s| {
+            let number = settings.members.iter().position(|m| *m == s.member)?;
+            Some((number, peer::dial(s.addr)))
+        })
+        .collect();
+
+    let (store_tx, store_rx) = unbounded::<(u64, StoreRequest)>();
+    let (ring_tx, ring_rx) = unbounded::<(u64, StoreRequest)>();
+    let lines = std::iter::repeat_n(store_rx, STORE_THREADS).chain(std::iter::once(ring_rx));
+    for line in lines {
+        let (tx, addr) = (tx.clone(), settings.state);
+        std::thread::spawn(move || {
+            let client = StoreClient::new(addr, Duration::from_millis(2000));
+            while let Ok((id, r)) = line.recv() {
+                let a = client.call(&r);
+                if tx.send(Inbound::Event(Event::Store(id, a))).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+
+    let (cloud_tx, cloud_rx) = bounded::<CloudRequest>(4);
+    let (back, addr) = (tx.clone(), settings.cloud);
+    std::thread::spawn(move || {
+        let client = CloudClient::new(addr);
+        while let Ok(r) = cloud_rx.recv() {
+            let a = client.call(&r);
+            if back.send(Inbound::Event(Event::Cloud(r, a))).is_err() {
+                return;
+            }
+        }
+    });
+
+    tracing::info!(member = %settings.member, zone = %settings.zone, api = %settings.api, back = %settings.back, "started");
+    let boot: u64 = rand::random::<u64>() >> 12;
+    let mut node = Node::new(settings, boot);
+    let mut open: HashMap<u64, tiny_http::Request> = HashMap::new();
+    let mut out = Vec::new();
+    // The steady clock starts above zero: zero means "never" in the slices.
+    let clock = || Micros(1_000_000 + start.elapsed().as_micros() as u64);
+    let wall = || Micros(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64));
+    loop {
+        let mut next = rx.recv_timeout(Duration::from_millis(100)).ok();
+        let mut taken = 0;
+        while let Some(inbound) = next {
+            let event = match inbound {
+                Inbound::Event(e) => e,
+                Inbound::Request(ticket, request, e) => {
+                    open.insert(ticket, request);
+                    e
+                }
+            };
+            node.step(clock(), wall(), event, &mut out);
+            taken += 1;
+            next = if taken < BATCH { rx.try_recv().ok() } else { None };
+        }
+        node.reconcile(clock(), wall(), &mut out);
+        for effect in out.drain(..) {
+            match effect {
+                Effect::Reply(ticket, r) => {
+                    if let Some(request) = open.remove(&ticket) {
+                        answer(request, r);
+                    }
+                }
+                Effect::Send(p, f) => {
+                    if let Some(link) = links.get(&p) {
+                        peer::enqueue(link, f);
+                    }
+                }
+                Effect::Store(id, r, ring) => {
+                    let _ = if ring { ring_tx.send((id, r)) } else { store_tx.send((id, r)) };
+                }
+                Effect::Cloud(r) => {
+                    let _ = cloud_tx.send(r);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,500 @@
+//! The fleet: one decider rents machines for work that finds no room and returns those that idle,
+//! never come up or have failed. The decider is the ring owner of a fixed key.
+
+use crate::peer::{Demand, MachineDigest, Standing};
+use crate::spec::{MachineType, Types};
+use crate::store::{Budget, call};
+use crate::units::{Micros, Room};
+use serde::Deserialize;
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Most machines in one rental.
+const RENT_LIMIT: u32 = 50;
+/// Most names in one return.
+const RETURN_LIMIT: usize = 100;
+
+/// A request to the cloud.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CloudRequest {
+    /// The machine types and prices.
+    Types,
+    /// A page of the machine list.
+    List(String),
+    /// Rent machines.
+    Rent(Rental),
+    /// Return machines.
+    Return(Vec<String>),
+}
+
+/// A rental. Its name makes a repeated request safe and is never used twice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rental {
+    /// The name.
+    pub name: String,
+    /// The machine type.
+    pub kind: String,
+    /// The zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// How many.
+    pub count: u32,
+}
+
+/// A machine in the cloud's list.
+#[derive(Deserialize, Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Its name.
+    #[serde(rename = "uid")]
+    pub name: String,
+    /// Its type.
+    #[serde(rename = "stallKind")]
+    pub kind: String,
+    /// Its zone.
+    #[serde(rename = "paddock")]
+    pub zone: String,
+    /// Whether it is a spot machine.
+    #[serde(rename = "borrowed", default)]
+    pub spot: bool,
+    /// `booting`, `running` or `failed`.
+    #[serde(rename = "stance")]
+    pub state: String,
+    /// Age since the rental.
+    #[serde(rename = "heldS", default)]
+    pub age_s: f64,
+}
+
+/// What the cloud said.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CloudAnswer {
+    /// The types.
+    Types(Vec<MachineType>),
+    /// A page, and whether there is more.
+    Page(Vec<Listed>, bool),
+    /// Names of the rented machines.
+    Rented(Vec<String>),
+    /// None to be had of this kind here.
+    NoCapacity,
+    /// The machines are gone.
+    Returned,
+    /// Too many calls, an outage, or no answer.
+    Failed,
+}
+
+/// A blocking client of the cloud.
+pub struct CloudClient {
+    agent: ureq::Agent,
+    base: String,
+}
+
+#[derive(Deserialize)]
+struct TypeList {
+    #[serde(rename = "breedsOfStall")]
+    types: Vec<MachineType>,
+}
+#[derive(Deserialize)]
+struct MachinePage {
+    #[serde(rename = "stalls")]
+    machines: Vec<Listed>,
+    #[serde(default)]
+    more: bool,
+}
+#[derive(Deserialize)]
+struct RentedNames {
+    #[serde(rename = "stalls")]
+    names: Vec<String>,
+}
+
+impl CloudClient {
+    /// A client of the cloud at `addr`.
+    pub fn new(addr: std::net::SocketAddrV4) -> CloudClient {
+        let agent = ureq::AgentBuilder::new().timeout(Duration::from_secs(4)).redirects(0).build();
+        CloudClient { agent, base: format!("http://{addr}") }
+    }
+    /// Carries out a request.
+    pub fn call(&self, r: &CloudRequest) -> CloudAnswer {
+        let base = &self.base;
+        let get = |url: String| call(&self.agent, "GET", &url, None);
+        let post = |url: String, body| call(&self.agent, "POST", &url, Some(body));
+        match r {
+            CloudRequest::Types => {
+                read(get(format!("{base}/flavors")), |t: TypeList| CloudAnswer::Types(t.types))
+            }
+            CloudRequest::List(after) => {
+                let after = if after.is_empty() { String::new() } else { format!("after={after}&") };
+                read(get(format!("{base}/rentals?{after}limit=500")), |p: MachinePage| {
+                    CloudAnswer::Page(p.machines, p.more)
+                })
+            }
+            CloudRequest::Rent(r) => {
+                let body = json!({"hire": r.name, "stallKind": r.kind, "paddock": r.zone, "borrowed": r.spot, "count": r.count});
+                match post(format!("{base}/rentals"), body.to_string()) {
+                    Some((503, text)) if text.contains("no capacity") => CloudAnswer::NoCapacity,
+                    Some((400, text)) => {
+                        tracing::error!(reason = %text, "the cloud calls a rental malformed");
+                        CloudAnswer::NoCapacity
+                    }
+                    other => read(other, |n: RentedNames| CloudAnswer::Rented(n.names)),
+                }
+            }
+            CloudRequest::Return(names) => {
+                match post(format!("{base}/rentals/return"), json!({ "stalls": names }).to_string()) {
+                    Some((200, _)) => CloudAnswer::Returned,
+                    _ => CloudAnswer::Failed,
+                }
+            }
+        }
+    }
+}
+
+fn read<T: for<'a> Deserialize<'a>>(r: Option<(u16, String)>, f: impl Fn(T) -> CloudAnswer) -> CloudAnswer {
+    match r {
+        Some((200, text)) => match serde_json::from_str(&text) {
+            Ok(v) => f(v),
+            Err(e) => {
+                tracing::error!(reason = %e, "unreadable answer from the cloud");
+                CloudAnswer::Failed
+            }
+        },
+        _ => CloudAnswer::Failed,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Coming {
+    kind: String,
+    zone: String,
+    spot: bool,
+    since: Micros,
+}
+
+/// What the decider knows. Only the decider acts; the others keep the types.
+pub struct Fleet {
+    boot: u64,
+    rentals: u64,
+    budget: Budget,
+    /// The machine types, once known.
+    pub types: Types,
+    next_types: Micros,
+    next_list: Micros,
+    listed: Option<BTreeMap<String, Listed>>,
+    page: Vec<Listed>,
+    /// Rented and not yet reporting.
+    coming: BTreeMap<String, Coming>,
+    no_capacity: BTreeMap<(String, String, bool), Micros>,
+    renting: Option<Rental>,
+    busy: bool,
+    pause_until: Micros,
+    demands: BTreeMap<usize, (Micros, Vec<Demand>)>,
+    /// Machines that are to take no new tasks.
+    pub drain: BTreeSet<String>,
+    /// Machines whose return was confirmed, and when.
+    gone: BTreeMap<String, Micros>,
+    acting_since: Option<Micros>,
+    /// Whether guarantees ask for room to be kept.
+    guarantees: bool,
+    next_plan: Micros,
+}
+
+impl Fleet {
+    /// Nothing known. `boot` is this process's random number.
+    pub fn new(boot: u64, cloud_rps: f64, guarantees: bool) -> Fleet {
+        Fleet {
+            boot,
+            rentals: 0,
+            budget: Budget::new(cloud_rps * 0.8),
+            types: Types::new(),
+            next_types: Micros(0),
+            next_list: Micros(0),
+            listed: None,
+            page: Vec::new(),
+            coming: BTreeMap::new(),
+            no_capacity: BTreeMap::new(),
+            renting: None,
+            busy: false,
+            pause_until: Micros(0),
+            demands: BTreeMap::new(),
+            drain: BTreeSet::new(),
+            gone: BTreeMap::new(),
+            acting_since: None,
+            guarantees,
+            next_plan: Micros(0),
+        }
+    }
+
+    /// A type's room.
+    pub fn room(&self, kind: &str) -> Option<Room> {
+        self.types.get(kind).map(MachineType::room)
+    }
+
+    /// An owner's unplaced work.
+    pub fn demand(&mut self, now: Micros, from: usize, d: Vec<Demand>) {
+        self.demands.insert(from, (now, d));
+    }
+
+    /// Machines confirmed gone of late.
+    pub fn gone(&self) -> Vec<String> {
+        self.gone.keys().cloned().collect()
+    }
+
+    /// The answer to the request last handed out.
+    pub fn answer(&mut self, now: Micros, r: &CloudRequest, a: CloudAnswer) {
+        self.busy = false;
+        match (r, a) {
+            (CloudRequest::Types, CloudAnswer::Types(list)) => {
+                self.types = list.into_iter().map(|t| (t.name.clone(), t)).collect();
+                self.next_types = now + Micros::from_millis(60_000);
+            }
+            (CloudRequest::List(after), CloudAnswer::Page(rows, more)) => {
+                if after.is_empty() {
+                    self.page.clear();
+                }
+                self.page.extend(rows);
+                if !more {
+                    let rows = std::mem::take(&mut self.page);
+                    self.listed = Some(rows.into_iter().map(|l| (l.name.clone(), l)).collect());
+                    self.next_list = now + Micros::from_millis(4000);
+                }
+            }
+            (CloudRequest::Rent(r), CloudAnswer::Rented(names)) => {
+                tracing::info!(rental = %r.name, kind = %r.kind, zone = %r.zone, spot = r.spot, asked = r.count, got = names.len(), "machines rented");
+                if names.len() < r.count as usize {
+                    self.no_capacity
+                        .insert((r.kind.clone(), r.zone.clone(), r.spot), now + Micros::from_millis(15_000));
+                }
+                for n in names {
+                    let c = Coming { kind: r.kind.clone(), zone: r.zone.clone(), spot: r.spot, since: now };
+                    self.coming.insert(n, c);
+                }
+                self.renting = None;
+            }
+            (CloudRequest::Rent(r), CloudAnswer::NoCapacity) => {
+                self.no_capacity
+                    .insert((r.kind.clone(), r.zone.clone(), r.spot), now + Micros::from_millis(15_000));
+                tracing::debug!(kind = %r.kind, zone = %r.zone, spot = r.spot, "no capacity");
+                self.renting = None;
+            }
+            (CloudRequest::Return(names), CloudAnswer::Returned) => {
+                tracing::info!(machines = ?names, "machines returned");
+                for n in names {
+                    self.drain.remove(n);
+                    self.coming.remove(n);
+                    if let Some(l) = &mut self.listed {
+                        l.remove(n);
+                    }
+                    self.gone.insert(n.clone(), now);
+                }
+            }
+            // A rental without a usable answer is repeated under its name until it has one.
+            _ => self.pause_until = now + Micros::from_millis(1000),
+        }
+    }
+
+    /// The next request, if one is due. `machines` are all homes' machines; `heard` tells whether
+    /// every home has spoken since the epoch began.
+    pub fn next(
+        &mut self,
+        now: Micros,
+        decider: bool,
+        machines: &[MachineDigest],
+        heard: bool,
+    ) -> Option<CloudRequest> {
+        if !decider {
+            self.acting_since = None;
+            self.drain.clear();
+            self.listed = None;
+            self.renting = None;
+            self.coming.clear();
+        }
+        if self.busy || now < self.pause_until {
+            return None;
+        }
+        if now >= self.next_types && self.budget.take(now, 1.0, 0.0) {
+            self.next_types = now + Micros::from_millis(if self.types.is_empty() { 1000 } else { 5000 });
+            return self.out(CloudRequest::Types);
+        }
+        if !decider {
+            return None;
+        }
+        let since = *self.acting_since.get_or_insert(now);
+        self.gone.retain(|_, t| now.since(*t) < Micros::from_millis(60_000));
+        if !self.page.is_empty() || now >= self.next_list || self.listed.is_none() {
+            if !self.budget.take(now, 1.0, 0.0) {
+                return None;
+            }
+            let after = self.page.last().map(|l| l.name.clone()).unwrap_or_default();
+            self.next_list = now + Micros::from_millis(4000);
+            return self.out(CloudRequest::List(after));
+        }
+        if let Some(r) = self.renting.clone() {
+            return self.budget.take(now, 1.0, 0.0).then(|| self.out(CloudRequest::Rent(r))).flatten();
+        }
+        if !heard || now < self.next_plan || self.types.is_empty() || !self.budget.take(now, 1.0, 0.0) {
+            return None;
+        }
+        let by_name: BTreeMap<&str, &MachineDigest> = machines.iter().map(|d| (d.name.as_str(), d)).collect();
+        let returns = self.returns(now, &by_name, since);
+        if !returns.is_empty() {
+            return self.out(CloudRequest::Return(returns));
+        }
+        if let Some(r) = self.rent(now, &by_name) {
+            self.renting = Some(r.clone());
+            return self.out(CloudRequest::Rent(r));
+        }
+        self.next_plan = now + Micros::from_millis(500);
+        None
+    }
+
+    fn out(&mut self, r: CloudRequest) -> Option<CloudRequest> {
+        self.busy = true;
+        Some(r)
+    }
+
+    fn boot_time(&self, kind: &str) -> Micros {
+        Micros::from_secs(self.types.get(kind).map_or(60.0, |t| t.boot_s))
+    }
+
+    /// Machines to give back now; also settles which are to be emptied first.
+    fn returns(
+        &mut self,
+        now: Micros,
+        machines: &BTreeMap<&str, &MachineDigest>,
+        since: Micros,
+    ) -> Vec<String> {
+        let mut out = Vec::new();
+        let waiting: u32 = self.fresh_demands(now).iter().map(|d| d.count).sum();
+        let mut drain = BTreeSet::new();
+        for d in machines.values() {
+            if d.standing == Standing::Gone || self.gone.contains_key(&d.name) {
+                continue;
+            }
+            let failed =
+                self.listed.as_ref().and_then(|l| l.get(&d.name)).is_some_and(|l| l.state == "failed");
+            // Keeping an idle machine is worth it as long as it costs less than booting one.
+            let patience = if self.guarantees {
+                Micros::from_millis(900_000)
+            } else {
+                Micros(self.boot_time(&d.kind).0 * 3 / 4)
+            };
+            if failed || d.silent > Micros::from_millis(40_000) {
+                out.push(d.name.clone());
+            } else if (d.idle > patience && waiting == 0) || (self.drain.contains(&d.name) && d.busy == 0) {
+                drain.insert(d.name.clone());
+                if self.drain.contains(&d.name) && !d.open && d.busy == 0 && d.standing == Standing::Known {
+                    out.push(d.name.clone());
+                }
+            }
+        }
+        self.drain = drain;
+        // Listed machines that never report: never came up, or are nobody's.
+        for l in self.listed.iter().flat_map(|l| l.values()) {
+            if machines.contains_key(l.name.as_str()) || self.gone.contains_key(&l.name) {
+                continue;
+            }
+            let patience = Micros(self.boot_time(&l.kind).0 * 3) + Micros::from_millis(10_000);
+            let settled = now.since(since) > Micros::from_millis(20_000);
+            if settled && (l.state == "failed" || Micros::from_secs(l.age_s) > patience) {
+                out.push(l.name.clone());
+            }
+        }
+        self.coming.retain(|n, c| {
+            !machines.contains_key(n.as_str()) && now.since(c.since) < Micros::from_millis(300_000)
+        });
+        out.truncate(RETURN_LIMIT);
+        out
+    }
+
+    fn fresh_demands(&self, now: Micros) -> Vec<Demand> {
+        let fresh = |t: Micros| now.since(t) < Micros::from_millis(3000);
+        let mut all: Vec<Demand> =
+            self.demands.values().filter(|(t, _)| fresh(*t)).flat_map(|(_, d)| d.iter().cloned()).collect();
+        all.sort_by_key(|d| std::cmp::Reverse(d.priority));
+        all
+    }
+
+    /// The next rental that the waiting work is worth.
+    fn rent(&mut self, now: Micros, machines: &BTreeMap<&str, &MachineDigest>) -> Option<Rental> {
+        self.no_capacity.retain(|_, until| now < *until);
+        // Room on its way: rented by us, or listed as booting.
+        let mut coming: Vec<(String, String, bool, Room)> = Vec::new();
+        let mut seen = BTreeSet::new();
+        for (n, c) in &self.coming {
+            seen.insert(n.clone());
+            coming.push((c.kind.clone(), c.zone.clone(), c.spot, self.room(&c.kind).unwrap_or_default()));
+        }
+        for l in self.listed.iter().flat_map(|l| l.values()) {
+            if l.state != "failed"
+                && !machines.contains_key(l.name.as_str())
+                && !seen.contains(&l.name)
+                && !self.gone.contains_key(&l.name)
+            {
+                coming.push((l.kind.clone(), l.zone.clone(), l.spot, self.room(&l.kind).unwrap_or_default()));
+            }
+        }
+        for d in self.fresh_demands(now) {
+            let mut left = i64::from(d.count);
+            let fits = |kind: &str, zone: &str, spot: bool| {
+                (d.kinds.is_empty() || d.kinds.iter().any(|k| k == kind))
+                    && d.zone.as_ref().is_none_or(|z| z == zone)
+                    && spot <= d.spot
+            };
+            // Without guarantees to keep, a machine must earn its boot: short tasks of low
+            // priority may queue for about as long as a machine takes to come up.
+            let rounds = if self.guarantees || d.priority > 0 || d.estimate.0 == 0 {
+                1
+            } else {
+                let boot = self.types.values().map(|t| Micros::from_secs(t.boot_s).0).max().unwrap_or(0);
+                (boot * 3 / 2 / d.estimate.0.max(1_000_000)).clamp(1, 6) as i64
+            };
+            left = (left + rounds - 1) / rounds;
+            for (kind, zone, spot, free) in &mut coming {
+                if left > 0 && fits(kind, zone, *spot) {
+                    let n = free.count_of(d.room).clamp(0, left);
+                    *free = *free - d.room.times(n);
+                    left -= n;
+                }
+            }
+            if left <= 0 {
+                continue;
+            }
+            let mut options: Vec<(f64, Rental)> = Vec::new();
+            for t in self.types.values() {
+                let each = t.room().count_of(d.room).min(i64::from(u32::MAX));
+                if each <= 0 {
+                    continue;
+                }
+                for zone in &t.zones {
+                    for spot in [false, true] {
+                        if !fits(&t.name, zone, spot)
+                            || self.no_capacity.contains_key(&(t.name.clone(), zone.clone(), spot))
+                        {
+                            continue;
+                        }
+                        let count = ((left + each - 1) / each).min(i64::from(RENT_LIMIT)) as u32;
+                        let price = if spot { t.spot_price } else { t.price };
+                        // For a large backlog the price of room counts, for a small one that of
+                        // the machines it takes.
+                        let cost = price * f64::from(count).max(left as f64 / each as f64);
+                        let r = Rental {
+                            name: String::new(),
+                            kind: t.name.clone(),
+                            zone: zone.clone(),
+                            spot,
+                            count,
+                        };
+                        options.push((cost, r));
+                    }
+                }
+            }
+            options.sort_by(|a, b| a.0.total_cmp(&b.0));
+            if let Some((_, mut r)) = options.into_iter().next() {
+                self.rentals += 1;
+                r.name = format!("r-{:016x}-{}", self.boot, self.rentals);
+                return Some(r);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/jobs.rs
@@ -0,0 +1,1004 @@
+//! The owner side of jobs: records, where each task stands, starts and stops, gangs, takeover.
+
+use crate::peer::{Demand, Exit, MachineDigest, Phase, Standing, TaskKey, Want, Wanted};
+use crate::placement::{self, Place, ZoneCounts};
+use crate::ring::Membership;
+use crate::settings::Settings;
+use crate::spec::{Kind, Spec};
+use crate::teams::{Need, Teams};
+use crate::units::{Micros, Ranges, Room};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Finals kept in memory; older ones are read from the store.
+const FINALS: usize = 2000;
+/// Starts in one placement pass, which bounds the time a pass takes.
+const STARTS_A_PASS: usize = 400;
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// All its tasks are done.
+    Done,
+    /// Its user cancelled it.
+    Cancelled,
+}
+
+/// A start that has been placed.
+#[derive(Clone, Debug)]
+struct Placed {
+    machine: String,
+    zone: String,
+    attempt: u64,
+    want: Want,
+    /// The first message to its home that named it; `u64::MAX` before that.
+    asked: u64,
+    phase: Option<Phase>,
+    since: Micros,
+}
+
+/// A gang's attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Gang {
+    /// Members are being accepted.
+    Holding(Micros),
+    /// All were accepted and may start.
+    Going,
+    /// The attempt is over; its members are being stopped.
+    Ending,
+}
+
+/// A live job.
+pub struct Job {
+    /// What its user asked for.
+    pub spec: Spec,
+    raw: Value,
+    /// When it was accepted, by the time of day.
+    pub accepted_wall: Micros,
+    /// Version of its record.
+    pub mark: u64,
+    /// Whether every start it may ever have had is known.
+    settled: bool,
+    done: Ranges,
+    durable: Ranges,
+    placed: BTreeMap<u32, Placed>,
+    gang: Option<Gang>,
+    starts: u64,
+    not_before: Micros,
+    failures: u32,
+    /// The end it is to have, once the store has it.
+    pub ending: Option<Final>,
+    /// A change of its record is under way.
+    pub writing: bool,
+    /// Its record's version must be read again first.
+    pub verify: bool,
+    next_write: Micros,
+}
+
+/// An old start that is stopping or waits to be forgotten.
+#[derive(Clone, Debug)]
+struct Leftover {
+    room: Room,
+    zone: String,
+    want: Want,
+    alive: bool,
+    /// It completed: the worker may forget it once that is on record.
+    done: bool,
+    asked: u64,
+}
+
+/// A home's latest digest.
+#[derive(Default)]
+struct View {
+    epoch: u64,
+    seq: u64,
+    rev_seen: u64,
+    machines: BTreeMap<String, MachineDigest>,
+}
+
+/// A change of a job's record.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RecordWrite {
+    /// Progress.
+    Progress(Value, Ranges),
+    /// The end.
+    End(Final, Value),
+}
+
+/// All that a controller knows as the owner of jobs.
+pub struct Owner {
+    me: usize,
+    value_bytes: usize,
+    /// Live jobs.
+    pub jobs: BTreeMap<String, Job>,
+    finals: BTreeMap<String, (Final, u32)>,
+    finals_order: VecDeque<String>,
+    leftovers: BTreeMap<(String, u32, String, u64), Leftover>,
+    by_machine: BTreeMap<String, BTreeSet<(String, u32)>>,
+    views: Vec<View>,
+    /// Machines that may hold tasks we don't know of.
+    unheard: BTreeSet<String>,
+    revs: Vec<u64>,
+    /// Homes whose wanted state has changed.
+    pub dirty: Vec<bool>,
+    /// Records have been read in this epoch.
+    pub loaded: bool,
+    /// Something changed that may let a task be placed.
+    pub replan: bool,
+    shunned: BTreeMap<String, (u32, Micros)>,
+    demands: Vec<Demand>,
+    gang_wait: Micros,
+}
+
+impl Owner {
+    /// Owns nothing yet.
+    pub fn new(s: &Settings) -> Owner {
+        let n = s.members.len();
+        Owner {
+            me: s.me,
+            value_bytes: s.value_bytes,
+            jobs: BTreeMap::new(),
+            finals: BTreeMap::new(),
+            finals_order: VecDeque::new(),
+            leftovers: BTreeMap::new(),
+            by_machine: BTreeMap::new(),
+            views: (0..n).map(|_| View::default()).collect(),
+            unheard: BTreeSet::new(),
+            revs: vec![0; n],
+            dirty: vec![true; n],
+            loaded: false,
+            replan: true,
+            shunned: BTreeMap::new(),
+            demands: Vec::new(),
+            gang_wait: s.gang_wait,
+        }
+    }
+
+    /// Takes up a new epoch. Jobs stay only if the epoch follows directly: otherwise another may
+    /// have owned them in between. Placed starts stay in doubt until their home has spoken.
+    pub fn adopt(&mut self, m: &Membership, follows: bool) {
+        self.loaded = false;
+        self.jobs.retain(|id, _| follows && m.job_owner(id) == Some(m.me));
+        self.leftovers.retain(|(id, ..), _| follows && m.job_owner(id) == Some(m.me));
+        self.finals.clear();
+        self.finals_order.clear();
+        for j in self.jobs.values_mut() {
+            j.writing = false;
+            j.verify = true;
+            for p in j.placed.values_mut() {
+                p.asked = u64::MAX;
+            }
+        }
+        for l in self.leftovers.values_mut() {
+            l.asked = u64::MAX;
+        }
+        let jobs = &self.jobs;
+        for set in self.by_machine.values_mut() {
+            set.retain(|(id, _)| jobs.contains_key(id));
+        }
+        self.by_machine.retain(|_, s| !s.is_empty());
+        // Message numbers never go back, not even over a restart, since the epoch is their head.
+        for r in &mut self.revs {
+            *r = (*r).max(m.epoch << 32);
+        }
+        self.unheard.clear();
+        self.dirty.fill(true);
+        self.demands.clear();
+    }
+
+    /// The records were read: `machines` are those that may hold tasks.
+    pub fn load_done(&mut self, machines: impl Iterator<Item = String>) {
+        self.unheard = machines.collect();
+        self.loaded = true;
+        self.replan = true;
+        self.dirty.fill(true);
+        self.settle();
+    }
+
+    /// Takes a job's record from the store. `fresh` if this process has just written it and it
+    /// can't have been started before.
+    pub fn insert(
+        &mut self,
+        raw: Value,
+        spec: Spec,
+        accepted_wall: Micros,
+        done: Ranges,
+        mark: u64,
+        fresh: bool,
+    ) {
+        let id = spec.id.clone();
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.mark = j.mark.max(mark);
+            j.verify = false;
+            return;
+        }
+        let job = Job {
+            spec,
+            raw,
+            accepted_wall,
+            mark,
+            settled: fresh || (self.loaded && self.unheard.is_empty()),
+            durable: done.clone(),
+            done,
+            placed: BTreeMap::new(),
+            gang: None,
+            starts: 0,
+            not_before: Micros(0),
+            failures: 0,
+            ending: None,
+            writing: false,
+            verify: false,
+            next_write: Micros(0),
+        };
+        self.jobs.insert(id, job);
+        self.replan = true;
+    }
+
+    /// Reads a job's record.
+    pub fn read_record(v: &Value) -> Option<(Value, Spec, Micros, Ranges)> {
+        let raw = v.get("spec")?.clone();
+        let spec = Spec::from_value(&raw).ok()?;
+        let accepted = Micros(v.get("accepted_us")?.as_u64()?);
+        let done = Ranges::decode(v.get("done")?.as_str()?, spec.tasks)?;
+        Some((raw, spec, accepted, done))
+    }
+
+    /// A job's record.
+    pub fn record(raw: &Value, accepted: Micros, done: &str) -> Value {
+        json!({"spec": raw, "accepted_us": accepted.0, "done": done})
+    }
+
+    /// The end of a job, if it is remembered.
+    pub fn final_of(&self, id: &str) -> Option<(Final, u32)> {
+        self.finals.get(id).copied()
+    }
+    /// Remembers the end of a job that the store has on record.
+    pub fn remember_final(&mut self, id: &str, f: Final, done: u32) {
+        if self.finals.insert(id.into(), (f, done)).is_none() {
+            self.finals_order.push_back(id.into());
+            if self.finals_order.len() > FINALS
+                && let Some(old) = self.finals_order.pop_front()
+            {
+                self.finals.remove(&old);
+            }
+        }
+    }
+
+    /// The job's end is on record: it is live no more, and what it left behind is cleared away.
+    pub fn ended(&mut self, id: &str, f: Final) {
+        let Some(j) = self.jobs.remove(id) else { return };
+        tracing::info!(job = id, end = ?f, tasks = j.spec.tasks, "job ended");
+        self.remember_final(id, f, j.done.len());
+        for (idx, p) in j.placed {
+            self.unindex(&p.machine, id, idx);
+            self.leave(id, idx, &p, j.spec.room, Want::Stop(Micros(0)), true, false);
+        }
+        for ((job, ..), l) in self.leftovers.range_mut((id.to_owned(), 0, String::new(), 0)..) {
+            if job != id {
+                break;
+            }
+            if !l.alive {
+                l.want = Want::Forget;
+            }
+        }
+        self.dirty.fill(true);
+        self.replan = true;
+    }
+
+    fn unindex(&mut self, machine: &str, id: &str, idx: u32) {
+        if let Some(s) = self.by_machine.get_mut(machine) {
+            s.remove(&(id.to_owned(), idx));
+            if s.is_empty() {
+                self.by_machine.remove(machine);
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn leave(&mut self, id: &str, idx: u32, p: &Placed, room: Room, want: Want, alive: bool, done: bool) {
+        let key = (id.to_owned(), idx, p.machine.clone(), p.attempt);
+        let left = Leftover { room, zone: p.zone.clone(), want, alive, done, asked: u64::MAX };
+        self.leftovers.insert(key, left);
+    }
+
+    /// What a user sees of a live job: whether a task runs, and how many are done and run.
+    pub fn stance(&self, id: &str) -> Option<(&'static str, u32, u32)> {
+        let j = self.jobs.get(id)?;
+        let running =
+            j.placed.values().filter(|p| matches!(p.phase, Some(Phase::Running | Phase::Saving))).count()
+                as u32;
+        Some((if running > 0 { "running" } else { "pending" }, j.done.len(), running))
+    }
+
+    /// Everything wanted on one home's machines, if it is time to say so.
+    pub fn wanted(&mut self, home: usize, m: &Membership) -> (u64, Vec<Wanted>) {
+        let rev = self.revs[home] + 1;
+        self.revs[home] = rev;
+        self.dirty[home] = false;
+        let mut out = Vec::new();
+        for (machine, set) in &self.by_machine {
+            if m.home(machine) != Some(home) {
+                continue;
+            }
+            for (id, idx) in set {
+                let Some(j) = self.jobs.get_mut(id) else { continue };
+                let Some(p) = j.placed.get_mut(idx) else { continue };
+                p.asked = p.asked.min(rev);
+                out.push(Wanted {
+                    key: TaskKey { job: id.clone(), index: *idx, attempt: p.attempt },
+                    machine: machine.clone(),
+                    room: j.spec.room,
+                    want: p.want,
+                });
+            }
+        }
+        for ((job, index, machine, attempt), l) in &mut self.leftovers {
+            if m.home(machine) != Some(home) {
+                continue;
+            }
+            l.asked = l.asked.min(rev);
+            out.push(Wanted {
+                key: TaskKey { job: job.clone(), index: *index, attempt: *attempt },
+                machine: machine.clone(),
+                room: l.room,
+                want: l.want,
+            });
+        }
+        (rev, out)
+    }
+
+    /// Takes a home's digest: the truth about our tasks on its machines.
+    pub fn digest(
+        &mut self,
+        now: Micros,
+        m: &Membership,
+        from: usize,
+        seq: u64,
+        rev_seen: u64,
+        machines: Vec<MachineDigest>,
+    ) {
+        let Some(v) = self.views.get_mut(from) else { return };
+        if !self.loaded || (v.epoch == m.epoch && seq <= v.seq) {
+            return;
+        }
+        v.epoch = m.epoch;
+        v.seq = seq;
+        v.rev_seen = rev_seen;
+        v.machines = machines.into_iter().map(|d| (d.name.clone(), d)).collect();
+        let mut names: BTreeSet<String> = v.machines.keys().cloned().collect();
+        names.extend(self.by_machine.keys().filter(|n| m.home(n) == Some(from)).cloned());
+        names.extend(self.unheard.iter().filter(|n| m.home(n) == Some(from)).cloned());
+        names.extend(self.leftovers.keys().map(|k| &k.2).filter(|n| m.home(n) == Some(from)).cloned());
+        for name in names {
+            self.machine_news(now, m, from, &name);
+        }
+        self.settle();
+        self.replan = true;
+    }
+
+    fn machine_news(&mut self, now: Micros, m: &Membership, from: usize, name: &str) {
+        let view = &self.views[from];
+        let rev_seen = view.rev_seen;
+        // A home that has read the records names every machine that was ever given a task; one
+        // that it doesn't name is gone.
+        let (standing, tasks, zone) = match view.machines.get(name) {
+            None => (Standing::Gone, Vec::new(), String::new()),
+            Some(d) => (d.standing, d.tasks.clone(), d.zone.clone()),
+        };
+        let listed: BTreeMap<(&str, u32, u64), Phase> =
+            tasks.iter().map(|a| ((a.key.job.as_str(), a.key.index, a.key.attempt), a.phase)).collect();
+        let current: Vec<(String, u32)> =
+            self.by_machine.get(name).map(|s| s.iter().cloned().collect()).unwrap_or_default();
+        for (id, idx) in current {
+            let Some(p) = self.jobs.get(&id).and_then(|j| j.placed.get(&idx)) else { continue };
+            match listed.get(&(id.as_str(), idx, p.attempt)) {
+                Some(&phase) => self.task_news(now, &id, idx, phase),
+                None if standing == Standing::Gone => self.lost(now, &id, idx, "machine gone"),
+                None if standing == Standing::Known && p.asked <= rev_seen => {
+                    let why =
+                        if p.phase.is_some_and(|x| x != Phase::Held) { "no longer there" } else { "refused" };
+                    self.lost(now, &id, idx, why);
+                }
+                None => {}
+            }
+        }
+        let old: Vec<(String, u32, String, u64)> =
+            self.leftovers.keys().filter(|k| k.2 == name).cloned().collect();
+        for k in old {
+            match listed.get(&(k.0.as_str(), k.1, k.3)) {
+                Some(&phase) => {
+                    let ended = !self.jobs.contains_key(&k.0);
+                    let durable = ended || self.jobs.get(&k.0).is_some_and(|j| j.durable.contains(k.1));
+                    let mut finished = false;
+                    if let Some(l) = self.leftovers.get_mut(&k)
+                        && let Phase::Exited(exit) = phase
+                    {
+                        if l.alive {
+                            l.alive = false;
+                            l.done = exit == Exit::Done;
+                            finished = l.done;
+                            self.replan = true;
+                        }
+                        let want = if !l.done || durable { Want::Forget } else { Want::Keep };
+                        if l.want != want {
+                            l.want = want;
+                            self.dirty[from] = true;
+                        }
+                    }
+                    if finished {
+                        self.complete(&k.0, k.1);
+                    }
+                }
+                None if standing == Standing::Gone
+                    || (standing == Standing::Known
+                        && self.leftovers.get(&k).is_some_and(|l| l.asked <= rev_seen)) =>
+                {
+                    self.leftovers.remove(&k);
+                    self.replan = true;
+                }
+                None => {}
+            }
+        }
+        // Starts that we don't know of: taken over with the job, or left by one that has ended.
+        for a in &tasks {
+            let k = &a.key;
+            let known = self
+                .jobs
+                .get(&k.job)
+                .and_then(|j| j.placed.get(&k.index))
+                .is_some_and(|p| p.attempt == k.attempt && p.machine == name);
+            let key = (k.job.clone(), k.index, name.to_owned(), k.attempt);
+            if known || self.leftovers.contains_key(&key) {
+                continue;
+            }
+            let p = Placed {
+                machine: name.to_owned(),
+                zone: zone.clone(),
+                attempt: k.attempt,
+                want: Want::Keep,
+                asked: u64::MAX,
+                phase: Some(a.phase),
+                since: now,
+            };
+            let exited = matches!(a.phase, Phase::Exited(_));
+            let adopt = self.jobs.get(&k.job).is_some_and(|j| {
+                !exited && k.index < j.spec.tasks && j.ending.is_none() && !j.done.contains(k.index) && !j.placed.contains_key(&k.index)
+                    // Members of two attempts of one gang can't be told to run together.
+                    && (j.spec.kind != Kind::Gang || j.placed.values().all(|q| q.attempt == k.attempt))
+                    && !matches!(a.phase, Phase::Held | Phase::Queued)
+            });
+            self.dirty[from] = true;
+            if adopt {
+                tracing::info!(job = %k.job, task = k.index, machine = name, epoch = m.epoch, "task taken over");
+                self.by_machine.entry(name.into()).or_default().insert((k.job.clone(), k.index));
+                if let Some(j) = self.jobs.get_mut(&k.job) {
+                    j.placed.insert(k.index, p);
+                    if j.spec.kind == Kind::Gang && j.gang.is_none() {
+                        j.gang = Some(Gang::Going);
+                    }
+                }
+                self.task_news(now, &k.job, k.index, a.phase);
+            } else {
+                let room = self.jobs.get(&k.job).map(|j| j.spec.room).unwrap_or_default();
+                let done = a.phase == Phase::Exited(Exit::Done);
+                let durable = self.jobs.get(&k.job).is_none_or(|j| j.durable.contains(k.index));
+                let want = match (exited, done && !durable) {
+                    (false, _) => Want::Stop(Micros(0)),
+                    (true, true) => Want::Keep,
+                    (true, false) => Want::Forget,
+                };
+                self.leave(&k.job, k.index, &p, room, want, !exited, done);
+                if done {
+                    self.complete(&k.job, k.index);
+                }
+            }
+        }
+        if standing != Standing::Unconfirmed {
+            self.unheard.remove(name);
+        }
+    }
+
+    fn task_news(&mut self, now: Micros, id: &str, idx: u32, phase: Phase) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        let room = j.spec.room;
+        let Some(p) = j.placed.get_mut(&idx) else { return };
+        if p.phase != Some(phase) {
+            p.since = now;
+        }
+        p.phase = Some(phase);
+        if matches!(phase, Phase::Fetching | Phase::Waiting | Phase::Running | Phase::Saving)
+            && p.want == Want::Run
+        {
+            p.want = Want::Keep;
+        }
+        let Phase::Exited(exit) = phase else { return };
+        let Some(p) = j.placed.remove(&idx) else { return };
+        let gang = j.spec.kind == Kind::Gang;
+        let machine = p.machine.clone();
+        if exit != Exit::Done {
+            match exit {
+                Exit::Error | Exit::Unknown => {
+                    j.failures += 1;
+                    // A job that fails everywhere must not spin: each failure doubles the pause.
+                    let pause = 1000u64 << j.failures.min(6);
+                    j.not_before = now + Micros::from_millis(pause);
+                }
+                Exit::NoRoom | Exit::Busy => j.not_before = now + Micros::from_millis(500),
+                _ => {}
+            }
+            tracing::debug!(job = id, task = idx, machine = %machine, why = ?exit, "task ended");
+        }
+        if exit == Exit::Error {
+            let s = self.shunned.entry(machine.clone()).or_insert((0, now));
+            s.0 += 1;
+            // A faulty machine eats tasks: each error keeps it out of use for longer.
+            s.1 = now + Micros::from_millis(10_000u64 << s.0.min(5));
+        }
+        self.unindex(&machine, id, idx);
+        let done = exit == Exit::Done;
+        let want = if done { Want::Keep } else { Want::Forget };
+        self.leave(id, idx, &p, room, want, false, done);
+        if done {
+            self.complete(id, idx);
+        } else if gang {
+            self.end_gang(id);
+        }
+        self.dirty.fill(true);
+        self.replan = true;
+    }
+
+    /// A task has completed. A gang completes as a whole. Replicas of a service never do.
+    fn complete(&mut self, id: &str, idx: u32) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        j.failures = 0;
+        match j.spec.kind {
+            Kind::Array => {
+                if idx < j.spec.tasks {
+                    j.done.insert(idx);
+                }
+            }
+            Kind::Gang => {
+                for i in 0..j.spec.tasks {
+                    j.done.insert(i);
+                }
+            }
+            Kind::Service => {}
+        }
+        self.replan = true;
+    }
+
+    /// A placed start is certainly not on its machine, and never will be.
+    fn lost(&mut self, now: Micros, id: &str, idx: u32, why: &str) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        let Some(p) = j.placed.remove(&idx) else { return };
+        let gang = j.spec.kind == Kind::Gang;
+        if why == "refused" {
+            j.not_before = j.not_before.max(now + Micros::from_millis(200));
+            tracing::debug!(job = id, task = idx, machine = %p.machine, "start refused");
+        } else {
+            tracing::info!(job = id, task = idx, machine = %p.machine, reason = why, "task lost");
+        }
+        self.unindex(&p.machine, id, idx);
+        if gang {
+            self.end_gang(id);
+        }
+        self.replan = true;
+    }
+
+    /// A gang's attempt is over: its other members are stopped, and the next attempt waits until
+    /// they are gone.
+    fn end_gang(&mut self, id: &str) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        if j.done.len() == j.spec.tasks {
+            return;
+        }
+        j.gang = if j.placed.is_empty() { None } else { Some(Gang::Ending) };
+        for p in j.placed.values_mut() {
+            p.want = Want::Stop(Micros(0));
+        }
+        self.dirty.fill(true);
+    }
+
+    fn settle(&mut self) {
+        if self.loaded && self.unheard.is_empty() {
+            for j in self.jobs.values_mut().filter(|j| !j.settled) {
+                j.settled = true;
+                self.replan = true;
+            }
+        }
+    }
+
+    /// Whether all that an ended job's tasks used is free again: every machine has been heard, and
+    /// no start of the job is left alive.
+    pub fn released(&self, id: &str) -> bool {
+        self.loaded && self.unheard.is_empty() && !self.jobs.contains_key(id) && !self.alive_leftover(id)
+    }
+
+    fn alive_leftover(&self, id: &str) -> bool {
+        self.leftovers_of(id).any(|(_, l)| l.alive)
+    }
+
+    fn leftovers_of<'a>(
+        &'a self,
+        id: &'a str,
+    ) -> impl Iterator<Item = (&'a (String, u32, String, u64), &'a Leftover)> {
+        self.leftovers.range((id.to_owned(), 0, String::new(), 0)..).take_while(move |(k, _)| k.0 == id)
+    }
+
+    /// Jobs in the order in which they get room: by priority, then by age.
+    fn order(&self) -> Vec<String> {
+        let mut ids: Vec<(&String, &Job)> = self.jobs.iter().filter(|(_, j)| j.ending.is_none()).collect();
+        ids.sort_by_key(|(id, j)| (std::cmp::Reverse(j.spec.priority), j.accepted_wall, (*id).clone()));
+        ids.into_iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    fn in_use(&self, id: &str, j: &Job) -> Room {
+        let left = self.leftovers_of(id).filter(|(_, l)| l.alive).count();
+        Room { memory: 0, ..j.spec.room.times((j.placed.len() + left) as i64) }
+    }
+
+    /// What our jobs need of their teams, per team in the order in which they should get it.
+    pub fn needs(&self, teams: &Teams) -> BTreeMap<String, Vec<Need>> {
+        let mut out: BTreeMap<String, Vec<Need>> = BTreeMap::new();
+        for id in self.order() {
+            let Some(j) = self.jobs.get(&id) else { continue };
+            if !teams.limited(&j.spec.team) {
+                continue;
+            }
+            let left = j.spec.tasks.saturating_sub(j.done.len()) as usize;
+            out.entry(j.spec.team.clone()).or_default().push(Need {
+                in_use: self.in_use(&id, j),
+                one: Room { memory: 0, ..j.spec.room },
+                more: left.saturating_sub(j.placed.len()) as i64,
+                whole: j.spec.kind != Kind::Array,
+                job: id,
+            });
+        }
+        // Jobs that are to end get no more, but keep what they use.
+        for (id, j) in self.jobs.iter().filter(|(_, j)| j.ending.is_some()) {
+            if teams.limited(&j.spec.team) {
+                out.entry(j.spec.team.clone()).or_default().push(Need {
+                    job: id.clone(),
+                    one: Room { memory: 0, ..j.spec.room },
+                    in_use: self.in_use(id, j),
+                    more: 0,
+                    whole: true,
+                });
+            }
+        }
+        out
+    }
+
+    /// The machines that take tasks, as far as we know.
+    fn places(&self, now: Micros, m: &Membership) -> Vec<Place> {
+        let mut out = Vec::new();
+        for v in self.views.iter().filter(|v| v.epoch == m.epoch) {
+            for d in v.machines.values().filter(|d| d.open && d.standing == Standing::Known) {
+                if self.shunned.get(&d.name).is_some_and(|s| now < s.1) {
+                    continue;
+                }
+                let mut free = d.free;
+                // What the home hasn't seen yet is not in its digest.
+                for (id, idx) in self.by_machine.get(&d.name).into_iter().flatten() {
+                    if let Some(j) = self.jobs.get(id)
+                        && j.placed.get(idx).is_some_and(|p| p.asked > v.rev_seen)
+                    {
+                        free = free - j.spec.room;
+                    }
+                }
+                out.push(Place {
+                    name: d.name.clone(),
+                    kind: d.kind.clone(),
+                    zone: d.zone.clone(),
+                    spot: d.spot,
+                    free,
+                    total: d.total,
+                    kept_for: None,
+                });
+            }
+        }
+        out
+    }
+
+    /// Places what can be placed, moves gangs on, and notes what finds no room.
+    pub fn plan(&mut self, now: Micros, m: &Membership, teams: &Teams) {
+        if !self.loaded {
+            return;
+        }
+        self.move_gangs(now);
+        let mut places = self.places(now, m);
+        let mut budget = STARTS_A_PASS;
+        self.demands.clear();
+        for id in self.order() {
+            let Some(j) = self.jobs.get(&id) else { continue };
+            if !j.settled || now < j.not_before || j.done.len() == j.spec.tasks {
+                continue;
+            }
+            let one = j.spec.room;
+            let claim = teams.claim(&j.spec.team, &id);
+            let in_use = self.in_use(&id, j);
+            let claim_left = Room { memory: i64::MAX / 4, ..claim - in_use };
+            let mut counts = ZoneCounts::new();
+            for p in j.placed.values() {
+                *counts.entry(p.zone.clone()).or_default() += 1;
+            }
+            let mut still_there = BTreeSet::new();
+            for (k, l) in self.leftovers_of(&id) {
+                if l.alive {
+                    *counts.entry(l.zone.clone()).or_default() += 1;
+                    still_there.insert(k.1);
+                }
+            }
+            let leftovers = &self.leftovers;
+            let shun = |idx: u32, machine: &str| {
+                leftovers
+                    .range((id.clone(), idx, machine.to_owned(), 0)..)
+                    .next()
+                    .is_some_and(|(k, _)| k.0 == id && k.1 == idx && k.2 == machine)
+            };
+            let mut starts: Vec<(u32, usize)> = Vec::new();
+            let mut unplaced = 0u32;
+            if j.spec.kind == Kind::Gang {
+                if j.gang.is_some() || !j.placed.is_empty() || !still_there.is_empty() {
+                    continue;
+                }
+                if claim_left.count_of(one) < i64::from(j.spec.tasks) {
+                    continue;
+                }
+                let any = |mch: &str| leftovers.keys().any(|k| k.0 == id && k.2 == mch);
+                match placement::gang(&j.spec, &places, &counts, any) {
+                    Some(at) => {
+                        for (i, &pl) in at.iter().enumerate() {
+                            places[pl].free = places[pl].free - one;
+                            starts.push((i as u32, pl));
+                        }
+                    }
+                    None => {
+                        unplaced = j.spec.tasks;
+                        keep_places(&mut places, &j.spec);
+                    }
+                }
+            } else {
+                let mut allowed = claim_left.count_of(one);
+                let left = j.spec.tasks - j.done.len() - j.placed.len() as u32;
+                let mut taken = 0u32;
+                for idx in j.done.gaps(j.spec.tasks) {
+                    if j.placed.contains_key(&idx) || still_there.contains(&idx) {
+                        continue;
+                    }
+                    if allowed <= 0 || budget == 0 {
+                        break;
+                    }
+                    let Some(pl) = placement::best(&j.spec, &places, &counts, |mch| shun(idx, mch)) else {
+                        unplaced = left.saturating_sub(taken).min(allowed.min(i64::from(u32::MAX)) as u32);
+                        break;
+                    };
+                    places[pl].free = places[pl].free - one;
+                    *counts.entry(places[pl].zone.clone()).or_default() += 1;
+                    allowed -= 1;
+                    budget -= 1;
+                    taken += 1;
+                    starts.push((idx, pl));
+                }
+            }
+            if unplaced > 0 {
+                let s = &j.spec;
+                self.demands.push(Demand {
+                    room: one,
+                    kinds: s.kinds.clone(),
+                    zone: s.zone.clone(),
+                    one_zone: s.one_zone,
+                    spot: s.spot,
+                    count: unplaced,
+                    estimate: s.estimate,
+                    priority: s.priority,
+                });
+            }
+            if starts.is_empty() {
+                continue;
+            }
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            let gang = j.spec.kind == Kind::Gang;
+            if gang {
+                j.gang = Some(Gang::Holding(now));
+                j.starts += 1;
+            }
+            for (idx, pl) in starts {
+                if !gang {
+                    j.starts += 1;
+                }
+                let place = &places[pl];
+                // The epoch in front makes attempts unique across owners without a counter on
+                // record.
+                let p = Placed {
+                    machine: place.name.clone(),
+                    zone: place.zone.clone(),
+                    attempt: (m.epoch << 24) + j.starts,
+                    want: if gang { Want::Hold } else { Want::Run },
+                    asked: u64::MAX,
+                    phase: None,
+                    since: now,
+                };
+                tracing::debug!(job = %id, task = idx, machine = %p.machine, attempt = p.attempt, "task placed");
+                if let Some(h) = m.home(&p.machine) {
+                    self.dirty[h] = true;
+                }
+                self.by_machine.entry(p.machine.clone()).or_default().insert((id.clone(), idx));
+                j.placed.insert(idx, p);
+            }
+        }
+    }
+
+    fn move_gangs(&mut self, now: Micros) {
+        let mut end = Vec::new();
+        for (id, j) in &mut self.jobs {
+            match j.gang {
+                Some(Gang::Holding(since)) => {
+                    let held = j.placed.values().filter(|p| p.phase == Some(Phase::Held)).count();
+                    if held == j.spec.tasks as usize {
+                        j.gang = Some(Gang::Going);
+                        for p in j.placed.values_mut() {
+                            p.want = Want::Run;
+                        }
+                        self.dirty.fill(true);
+                    } else if now.since(since) > Micros::from_millis(4000) {
+                        end.push((id.clone(), true));
+                    }
+                }
+                Some(Gang::Going) => {
+                    // A member that never gets as far as waiting holds up the rest; theirs run
+                    // out by themselves after a while, ours is to notice the odd one.
+                    let short = j.placed.len() < j.spec.tasks as usize;
+                    let stuck = j.placed.values().any(|p| {
+                        matches!(p.phase, Some(Phase::Queued | Phase::InDoubt) | None)
+                            && now.since(p.since) > self.gang_wait
+                    });
+                    if short || stuck {
+                        end.push((id.clone(), false));
+                    }
+                }
+                Some(Gang::Ending) if j.placed.is_empty() => j.gang = None,
+                _ => {}
+            }
+        }
+        for (id, held) in end {
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            if !held {
+                // A gang taken over is complete only when every machine has been heard.
+                if !j.settled {
+                    continue;
+                }
+                self.end_gang(&id);
+                continue;
+            }
+            // Nothing of it was started: what is no longer asked for is dropped by the homes.
+            j.gang = None;
+            j.not_before = now + Micros::from_millis(300);
+            let dropped = std::mem::take(&mut j.placed);
+            for (idx, p) in dropped {
+                self.unindex(&p.machine, &id, idx);
+            }
+            self.dirty.fill(true);
+        }
+    }
+
+    /// What finds no room, for the decider.
+    pub fn demands(&self) -> &[Demand] {
+        &self.demands
+    }
+
+    /// The next change of a job's record that is due: ends first, then progress.
+    pub fn next_write(&mut self, now: Micros, ends: bool) -> Option<(String, RecordWrite, u64)> {
+        for (id, j) in &mut self.jobs {
+            if j.writing || j.verify {
+                continue;
+            }
+            if j.ending.is_none() && j.spec.kind != Kind::Service && j.done.len() == j.spec.tasks {
+                j.ending = Some(Final::Done);
+            }
+            if ends {
+                if let Some(f) = j.ending
+                    && now >= j.next_write
+                {
+                    j.writing = true;
+                    let value = json!({"end": if f == Final::Done { "done" } else { "cancelled" }, "done": j.done.len()});
+                    return Some((id.clone(), RecordWrite::End(f, value), j.mark));
+                }
+            } else if j.ending.is_none() && j.done.len() > j.durable.len() && now >= j.next_write {
+                let raw_len = j.raw.to_string().len();
+                let text = j.done.encode(self.value_bytes.saturating_sub(raw_len + 200));
+                let kept = Ranges::decode(&text, j.spec.tasks).unwrap_or_default();
+                if kept == j.durable {
+                    j.next_write = now + Micros::from_millis(5000);
+                    continue;
+                }
+                j.writing = true;
+                let value = Owner::record(&j.raw, j.accepted_wall, &text);
+                return Some((id.clone(), RecordWrite::Progress(value, kept), j.mark));
+            }
+        }
+        None
+    }
+
+    /// Progress is on record: workers may forget those tasks.
+    pub fn progress_written(&mut self, now: Micros, id: &str, kept: Ranges, mark: u64) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        j.writing = false;
+        j.mark = j.mark.max(mark);
+        j.durable = kept;
+        j.next_write = now + Micros::from_millis(4000);
+        let durable = j.durable.clone();
+        for (k, l) in self.leftovers.range_mut((id.to_owned(), 0, String::new(), 0)..) {
+            if k.0 != id {
+                break;
+            }
+            if !l.alive && durable.contains(k.1) {
+                l.want = Want::Forget;
+            }
+        }
+        self.dirty.fill(true);
+    }
+
+    /// A change of a record failed; if it may have been applied, its version is read first.
+    pub fn write_failed(&mut self, now: Micros, id: &str, certain: bool) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.writing = false;
+            j.verify = !certain;
+            j.next_write = now + Micros::from_millis(500);
+        }
+    }
+
+    /// A job whose record's version must be read.
+    pub fn next_verify(&self) -> Option<String> {
+        self.jobs.iter().find(|(_, j)| j.verify && !j.writing).map(|(id, _)| id.clone())
+    }
+
+    /// This controller's number.
+    pub fn me(&self) -> usize {
+        self.me
+    }
+    /// Whether everything that could be running is known.
+    pub fn rebuilt(&self) -> bool {
+        self.loaded && self.unheard.is_empty()
+    }
+    /// How many machines have not been heard since the epoch began.
+    pub fn unheard(&self) -> usize {
+        self.unheard.len()
+    }
+    /// Machines of all homes as last seen.
+    pub fn machines(&self, epoch: u64) -> impl Iterator<Item = &MachineDigest> {
+        self.views.iter().filter(move |v| v.epoch == epoch).flat_map(|v| v.machines.values())
+    }
+    /// Whether all homes have spoken in this epoch.
+    pub fn all_homes_heard(&self, m: &Membership) -> bool {
+        m.members.iter().all(|&h| self.views.get(h).is_some_and(|v| v.epoch == m.epoch))
+    }
+    /// Started, waiting and total tasks of live jobs.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let placed = self.jobs.values().map(|j| j.placed.len()).sum();
+        let left: usize = self.jobs.values().map(|j| (j.spec.tasks - j.done.len()) as usize).sum();
+        (self.jobs.len(), placed, left)
+    }
+}
+
+/// Keeps the roomiest machines that a waiting gang could use from less urgent work, so that the
+/// room its tasks need can come together.
+fn keep_places(places: &mut [Place], s: &Spec) {
+    let mut zones: BTreeMap<String, Vec<usize>> = BTreeMap::new();
+    for (i, p) in places.iter().enumerate().filter(|(_, p)| p.allowed(s) && p.kept_for.is_none()) {
+        let zone = if s.one_zone { p.zone.clone() } else { String::new() };
+        zones.entry(zone).or_default().push(i);
+    }
+    let best = zones
+        .into_values()
+        .map(|mut at| {
+            at.sort_by_key(|&i| std::cmp::Reverse(places[i].free.cpus));
+            at.truncate(s.tasks as usize);
+            let free: i64 = at.iter().map(|&i| places[i].free.cpus).sum();
+            (free, at)
+        })
+        .max_by_key(|(free, at)| (at.len(), *free));
+    for i in best.into_iter().flat_map(|(_, at)| at) {
+        places[i].kept_for = Some(s.priority);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! hazelsaddle: a cluster scheduler. Three controllers take jobs from users, rent machines and
+//! decide what runs where. `docs/design.md` tells how and why.
+
+pub mod api;
+pub mod daemon;
+pub mod fleet;
+pub mod jobs;
+pub mod machines;
+pub mod node;
+pub mod peer;
+pub mod placement;
+pub mod ring;
+pub mod settings;
+pub mod spec;
+pub mod store;
+pub mod teams;
+pub mod units;
--- /dev/null
+++ b/src/machines.rs
@@ -0,0 +1,570 @@
+//! The home side of machines: their reports, sessions and leases, what may be started on them,
+//! and the commands they are given.
+
+use crate::peer::{Actual, Exit, MachineDigest, Phase, Standing, TaskKey, Want, Wanted};
+use crate::ring::Membership;
+use crate::settings::Settings;
+use crate::units::{Micros, Room};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A worker's report.
+#[derive(Deserialize, Clone, Debug, PartialEq)]
+pub struct Report {
+    /// The machine.
+    #[serde(rename = "stall")]
+    pub machine: String,
+    /// Where it takes direct commands.
+    #[serde(default)]
+    pub addr: String,
+    /// Its type.
+    #[serde(rename = "stallKind")]
+    pub kind: String,
+    /// Its zone.
+    #[serde(rename = "paddock")]
+    pub zone: String,
+    /// Whether it is a spot machine.
+    #[serde(rename = "borrowed", default)]
+    pub spot: bool,
+    /// The session.
+    #[serde(rename = "ride")]
+    pub session: u64,
+    /// Grows with each message of a session.
+    #[serde(rename = "hoofbeat")]
+    pub seq: u64,
+    /// Highest token seen.
+    #[serde(rename = "rein")]
+    pub token: u64,
+    /// Seconds until the cloud takes it.
+    #[serde(rename = "whistleS", default)]
+    pub notice_s: Option<f64>,
+    /// Its tasks.
+    #[serde(rename = "strides", default)]
+    pub tasks: Vec<ReportedTask>,
+}
+
+/// A task in a report.
+#[derive(Deserialize, Clone, Debug, PartialEq)]
+pub struct ReportedTask {
+    /// `job/number`.
+    #[serde(rename = "stride")]
+    pub task: String,
+    /// Which start.
+    #[serde(rename = "mount")]
+    pub attempt: u64,
+    /// Where it stands.
+    #[serde(rename = "stance")]
+    pub state: String,
+    /// Why it ended.
+    #[serde(rename = "cause", default)]
+    pub why: Option<String>,
+    /// Whether it saved.
+    #[serde(default)]
+    pub saved: Option<bool>,
+}
+
+impl ReportedTask {
+    fn read(&self) -> Option<(TaskKey, Phase)> {
+        let (job, index) = self.task.rsplit_once('/')?;
+        let key = TaskKey { job: job.into(), index: index.parse().ok()?, attempt: self.attempt };
+        let phase = match self.state.as_str() {
+            "pulling" => Phase::Fetching,
+            "waiting" => Phase::Waiting,
+            "running" => Phase::Running,
+            "flushing" => Phase::Saving,
+            "ended" => Phase::Exited(match self.why.as_deref() {
+                Some("done") => Exit::Done,
+                Some("stopped") => Exit::Stopped(self.saved == Some(true)),
+                Some("peers") => Exit::Peers,
+                Some("alone") => Exit::Alone,
+                Some("no_room") => Exit::NoRoom,
+                Some("busy") => Exit::Busy,
+                Some("unknown") => Exit::Unknown,
+                _ => Exit::Error,
+            }),
+            _ => return None,
+        };
+        Some((key, phase))
+    }
+}
+
+/// The answer to a report.
+#[derive(Serialize, Clone, Debug, PartialEq)]
+pub struct Orders {
+    /// The token.
+    #[serde(rename = "rein")]
+    pub token: u64,
+    /// What to do, in order.
+    #[serde(rename = "calls")]
+    pub commands: Vec<Command>,
+}
+
+/// One command to a worker.
+#[derive(Serialize, Clone, Debug, PartialEq)]
+pub struct Command {
+    /// `run`, `kill` or `forget`.
+    #[serde(rename = "call")]
+    pub op: &'static str,
+    /// `job/number`.
+    #[serde(rename = "stride")]
+    pub task: String,
+    /// Which start.
+    #[serde(rename = "mount")]
+    pub attempt: u64,
+    /// Seconds to save.
+    #[serde(rename = "cooldownS", skip_serializing_if = "Option::is_none")]
+    pub grace_s: Option<f64>,
+}
+
+impl Command {
+    fn new(op: &'static str, key: &TaskKey, grace: Option<Micros>) -> Command {
+        Command {
+            op,
+            task: format!("{}/{}", key.job, key.index),
+            attempt: key.attempt,
+            grace_s: grace.map(Micros::secs),
+        }
+    }
+}
+
+/// Most starts in one answer, so that no line of it nears 64 KiB.
+const STARTS_AN_ANSWER: usize = 200;
+/// Most commands in one answer.
+const COMMANDS_AN_ANSWER: usize = 500;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    /// None until the owner has said what the task takes.
+    room: Option<Room>,
+    phase: Phase,
+    want: Option<Want>,
+    /// The report that the start was answered to.
+    sent_to: (u64, u64),
+}
+
+impl Entry {
+    fn on_machine(&self) -> bool {
+        !matches!(self.phase, Phase::Held | Phase::Queued)
+    }
+    fn alive(&self) -> bool {
+        !matches!(self.phase, Phase::Exited(_))
+    }
+}
+
+/// Whether the store has a machine's name, so that after a takeover it is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Record {
+    No,
+    Asked,
+    Yes,
+}
+
+#[derive(Clone, Debug)]
+struct Machine {
+    kind: String,
+    zone: String,
+    spot: bool,
+    addr: String,
+    standing: Standing,
+    record: Record,
+    last: (u64, u64),
+    /// When the last report came; for one that never reported, when it became ours.
+    heard_at: Micros,
+    reported: bool,
+    notice_at: Option<Micros>,
+    entries: BTreeMap<TaskKey, Entry>,
+    draining: bool,
+    idle_since: Micros,
+}
+
+/// What the store keeps of a machine.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct MachineRecord {
+    /// Its type.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Where it takes direct commands.
+    pub addr: String,
+}
+
+/// What to do with a report.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Answer with these orders.
+    Orders(Orders),
+    /// The report is out of date: a newer one has been taken.
+    Stale,
+    /// The worker has seen a newer token than ours.
+    Deposed,
+}
+
+/// All that a controller knows as the home of machines.
+pub struct Home {
+    worker_lease: Micros,
+    machines: BTreeMap<String, Machine>,
+    /// Starts that were decided on once, accepted or refused. A start is never decided on twice:
+    /// the owner may have placed the task elsewhere since.
+    decided: BTreeMap<TaskKey, usize>,
+    /// Latest message of each owner.
+    revs: Vec<u64>,
+    /// Set when a digest should go out soon.
+    pub changed: bool,
+}
+
+impl Home {
+    /// Knows nothing yet.
+    pub fn new(s: &Settings) -> Home {
+        Home {
+            worker_lease: s.worker_lease,
+            machines: BTreeMap::new(),
+            decided: BTreeMap::new(),
+            revs: vec![0; s.members.len()],
+            changed: false,
+        }
+    }
+
+    /// Takes up a new epoch. A machine stays known only if the epoch follows directly and it was
+    /// ours before: then nobody else can have commanded it. Queued starts of jobs that changed
+    /// owner are dropped, since the new owner hasn't asked for them.
+    pub fn adopt(
+        &mut self,
+        now: Micros,
+        m: &Membership,
+        follows: bool,
+        owner_before: impl Fn(&str) -> Option<usize>,
+    ) {
+        self.machines.retain(|name, _| m.home(name) == Some(m.me));
+        for x in self.machines.values_mut() {
+            if !follows && x.standing == Standing::Known {
+                x.standing = Standing::Unconfirmed;
+                x.heard_at = now;
+            }
+            x.entries
+                .retain(|k, e| e.on_machine() || (follows && owner_before(&k.job) == m.job_owner(&k.job)));
+        }
+        if !follows {
+            self.decided.clear();
+        }
+        self.changed = true;
+    }
+
+    /// The store names a machine that had tasks once; it may still have.
+    pub fn recorded(&mut self, now: Micros, name: &str, r: MachineRecord) {
+        let x = self
+            .machines
+            .entry(name.into())
+            .or_insert_with(|| Machine::new(now, r.kind, r.zone, r.spot, r.addr));
+        x.record = Record::Yes;
+        self.changed = true;
+    }
+
+    /// Takes a report and says what to answer. `capacity` gives a type's room.
+    pub fn report(&mut self, now: Micros, m: &Membership, r: &Report) -> Verdict {
+        if r.token > m.epoch {
+            return Verdict::Deposed;
+        }
+        let x = self
+            .machines
+            .entry(r.machine.clone())
+            .or_insert_with(|| Machine::new(now, r.kind.clone(), r.zone.clone(), r.spot, r.addr.clone()));
+        // A delayed report tells nothing new, and its sender has given up on the answer.
+        if (r.session, r.seq) <= x.last || x.standing == Standing::Gone {
+            return Verdict::Stale;
+        }
+        x.last = (r.session, r.seq);
+        x.heard_at = now;
+        x.reported = true;
+        x.notice_at = r.notice_s.map(|s| now + Micros::from_secs(s));
+        // Only a report that shows our token proves that no older controller's answer can still
+        // be executed, hence that the list is complete.
+        if r.token == m.epoch && x.standing == Standing::Unconfirmed {
+            x.standing = Standing::Known;
+            self.changed = true;
+        }
+        let mut listed = BTreeSet::new();
+        for t in &r.tasks {
+            let Some((key, phase)) = t.read() else {
+                tracing::error!(machine = %r.machine, task = %t.task, state = %t.state, "unreadable task in a report");
+                continue;
+            };
+            let e = x.entries.entry(key.clone()).or_insert_with(|| Entry {
+                room: None,
+                phase,
+                want: None,
+                sent_to: (0, 0),
+            });
+            if e.phase != phase {
+                self.changed = true;
+            }
+            e.phase = phase;
+            listed.insert(key);
+        }
+        // What is not listed and was out is not there: the worker keeps one report in flight, so
+        // this one was sent after it took or dropped the answer that carried the start.
+        let before = x.entries.len();
+        x.entries.retain(|k, e| {
+            !e.on_machine()
+                || listed.contains(k)
+                || (e.phase == Phase::InDoubt && e.sent_to >= (r.session, r.seq))
+        });
+        self.changed |= before != x.entries.len();
+        let mut commands = Vec::new();
+        for (k, e) in &x.entries {
+            match (e.phase, e.want) {
+                (Phase::Exited(_), Some(Want::Forget)) => {
+                    commands.push(Command::new("forget", k, None));
+                }
+                (Phase::Fetching | Phase::Waiting | Phase::Running | Phase::Saving, Some(Want::Stop(g))) => {
+                    commands.push(Command::new("kill", k, Some(g)));
+                }
+                _ => {}
+            }
+        }
+        commands.truncate(COMMANDS_AN_ANSWER);
+        if x.standing == Standing::Known && x.record == Record::Yes {
+            let mut room = STARTS_AN_ANSWER;
+            for (k, e) in &mut x.entries {
+                if room > 0 && e.phase == Phase::Queued && e.want == Some(Want::Run) {
+                    room -= 1;
+                    e.phase = Phase::InDoubt;
+                    e.sent_to = (r.session, r.seq);
+                    self.changed = true;
+                    commands.push(Command::new("run", k, None));
+                }
+            }
+        }
+        Verdict::Orders(Orders { token: m.epoch, commands })
+    }
+
+    /// Takes all that one owner wants. Returns false for a message that is out of date.
+    pub fn wanted(
+        &mut self,
+        now: Micros,
+        from: usize,
+        rev: u64,
+        list: &[Wanted],
+        m: &Membership,
+        capacity: impl Fn(&str) -> Option<Room>,
+    ) -> bool {
+        if self.revs.get(from).is_none_or(|&r| rev <= r) {
+            return false;
+        }
+        self.revs[from] = rev;
+        let listed: BTreeSet<(&str, &TaskKey)> = list.iter().map(|w| (w.machine.as_str(), &w.key)).collect();
+        for (name, x) in &mut self.machines {
+            x.entries.retain(|k, e| {
+                e.on_machine() || m.job_owner(&k.job) != Some(from) || listed.contains(&(name.as_str(), k))
+            });
+        }
+        let keys: BTreeSet<&TaskKey> = list.iter().map(|w| &w.key).collect();
+        self.decided.retain(|k, &mut owner| owner != from || keys.contains(k));
+        for w in list {
+            if m.job_owner(&w.key.job) != Some(from) {
+                continue;
+            }
+            let Some(x) = self.machines.get_mut(&w.machine) else { continue };
+            if let Some(e) = x.entries.get_mut(&w.key) {
+                e.room = Some(w.room);
+                if e.phase == Phase::Held && w.want == Want::Run {
+                    e.phase = Phase::Queued;
+                }
+                // A held or queued start that is to be stopped never goes out.
+                if e.want != Some(w.want) {
+                    e.want = Some(w.want);
+                }
+                continue;
+            }
+            if !matches!(w.want, Want::Hold | Want::Run) || self.decided.contains_key(&w.key) {
+                continue;
+            }
+            // While the machine's tasks are not known nothing can be decided; the digest says so
+            // and the owner keeps the start in doubt.
+            if x.standing != Standing::Known {
+                continue;
+            }
+            self.decided.insert(w.key.clone(), from);
+            let Some(total) = capacity(&x.kind) else { continue };
+            // One machine never holds two starts of one task.
+            let twin =
+                x.entries.iter().any(|(k, e)| k.job == w.key.job && k.index == w.key.index && e.alive());
+            let fits = x.free(total).is_some_and(|f| f.holds(w.room));
+            if x.open(now) && fits && !twin {
+                let phase = if w.want == Want::Run { Phase::Queued } else { Phase::Held };
+                let entry = Entry { room: Some(w.room), phase, want: Some(w.want), sent_to: (0, 0) };
+                x.entries.insert(w.key.clone(), entry);
+            } else {
+                tracing::debug!(machine = %w.machine, job = %w.key.job, task = w.key.index, fits, twin, "start refused");
+            }
+        }
+        for x in self.machines.values_mut() {
+            x.entries.retain(|_, e| e.on_machine() || matches!(e.want, Some(Want::Hold | Want::Run)));
+        }
+        self.changed = true;
+        true
+    }
+
+    /// Works off what time alone decides: leases that have certainly run out.
+    pub fn tick(&mut self, now: Micros, m: &Membership) {
+        let margin = Micros(self.worker_lease.0 / 40 + 250_000);
+        for (name, x) in &mut self.machines {
+            // A known machine was last answered by us, no earlier than its last report; no other
+            // controller can have answered it since. One that never confirmed may have been
+            // answered under an older token until those fell silent.
+            let last_answer = match x.standing {
+                Standing::Known => x.heard_at,
+                Standing::Unconfirmed => x.heard_at.max(m.older_silent_at()),
+                Standing::Gone => continue,
+            };
+            let over = now >= last_answer + self.worker_lease.stretched() + margin;
+            if over && (x.standing == Standing::Unconfirmed || x.entries.values().any(Entry::on_machine)) {
+                tracing::info!(machine = %name, epoch = m.epoch, tasks = x.entries.len(), reason = "lease ran out", "machine's tasks are gone");
+                x.entries.clear();
+                x.standing = Standing::Known;
+                self.changed = true;
+            }
+            if x.entries.is_empty() {
+                x.idle_since = x.idle_since.min(now);
+            } else {
+                x.idle_since = now;
+            }
+        }
+    }
+
+    /// The decider's word on machines to empty and machines that are gone.
+    pub fn fleet(&mut self, drain: &BTreeSet<String>, gone: &[String]) {
+        for (name, x) in &mut self.machines {
+            let d = drain.contains(name);
+            self.changed |= d != x.draining;
+            x.draining = d;
+        }
+        for name in gone {
+            if let Some(x) = self.machines.get_mut(name)
+                && x.standing != Standing::Gone
+            {
+                x.standing = Standing::Gone;
+                x.entries.clear();
+                self.changed = true;
+            }
+        }
+    }
+
+    /// Machines to put on record before anything is started on them.
+    pub fn to_record(&mut self) -> Vec<(String, MachineRecord)> {
+        let mut out = Vec::new();
+        for (name, x) in &mut self.machines {
+            if x.record == Record::No && x.reported && x.standing != Standing::Gone {
+                let r = MachineRecord {
+                    kind: x.kind.clone(),
+                    zone: x.zone.clone(),
+                    spot: x.spot,
+                    addr: x.addr.clone(),
+                };
+                out.push((name.clone(), r));
+            }
+        }
+        out
+    }
+    /// Notes that a machine's record is being written, or is written, or failed to be.
+    pub fn record_state(&mut self, name: &str, asked: bool, written: bool) {
+        if let Some(x) = self.machines.get_mut(name) {
+            x.record = match (asked, written) {
+                (_, true) => Record::Yes,
+                (true, false) => Record::Asked,
+                (false, false) => Record::No,
+            };
+            self.changed = true;
+        }
+    }
+    /// Machines that are gone and still on record.
+    pub fn to_erase(&self) -> Vec<String> {
+        let gone = |x: &Machine| x.standing == Standing::Gone && x.record == Record::Yes;
+        self.machines.iter().filter(|(_, x)| gone(x)).map(|(n, _)| n.clone()).collect()
+    }
+    /// The record of a gone machine was erased; owners have been told by digests since, and a
+    /// gone machine reports no more.
+    pub fn erased(&mut self, name: &str) {
+        if let Some(x) = self.machines.get_mut(name) {
+            x.record = Record::No;
+        }
+    }
+
+    /// The digest for one owner: all machines, and those tasks that are the owner's.
+    pub fn digest(
+        &self,
+        now: Micros,
+        m: &Membership,
+        to: usize,
+        capacity: impl Fn(&str) -> Option<Room>,
+    ) -> (u64, Vec<MachineDigest>) {
+        let mut out = Vec::new();
+        for (name, x) in &self.machines {
+            let total = capacity(&x.kind).unwrap_or_default();
+            let free = x.free(total);
+            out.push(MachineDigest {
+                name: name.clone(),
+                kind: x.kind.clone(),
+                zone: x.zone.clone(),
+                spot: x.spot,
+                standing: x.standing,
+                open: x.open(now) && x.standing == Standing::Known && free.is_some(),
+                notice: x.notice_at.map(|t| t.since(now)),
+                free: free.unwrap_or_default(),
+                total,
+                busy: x.entries.values().filter(|e| e.alive()).count() as u32,
+                idle: if x.entries.is_empty() { now.since(x.idle_since) } else { Micros(0) },
+                silent: now.since(x.heard_at),
+                tasks: x
+                    .entries
+                    .iter()
+                    .filter(|(k, _)| m.job_owner(&k.job) == Some(to))
+                    .map(|(k, e)| Actual { key: k.clone(), phase: e.phase })
+                    .collect(),
+            });
+        }
+        (self.revs.get(to).copied().unwrap_or(0), out)
+    }
+
+    /// How many machines are known, and how many there are.
+    pub fn counts(&self) -> (usize, usize) {
+        let known = self.machines.values().filter(|x| x.standing == Standing::Known).count();
+        (known, self.machines.len())
+    }
+}
+
+impl Machine {
+    fn new(now: Micros, kind: String, zone: String, spot: bool, addr: String) -> Machine {
+        Machine {
+            kind,
+            zone,
+            spot,
+            addr,
+            standing: Standing::Unconfirmed,
+            record: Record::No,
+            last: (0, 0),
+            heard_at: now,
+            reported: false,
+            notice_at: None,
+            entries: BTreeMap::new(),
+            draining: false,
+            idle_since: now,
+        }
+    }
+    /// Free room; None while some task's needs are unknown.
+    fn free(&self, total: Room) -> Option<Room> {
+        let mut free = total;
+        for e in self.entries.values().filter(|e| e.alive()) {
+            free = free - e.room?;
+        }
+        Some(free)
+    }
+    /// Whether it takes new tasks. One that missed two reports may be dead.
+    fn open(&self, now: Micros) -> bool {
+        !self.draining
+            && self.notice_at.is_none()
+            && self.reported
+            && now.since(self.heard_at) < Micros::from_millis(8_000)
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,74 @@
+//! The command line.
+
+use clap::{Parser, Subcommand};
+use hazelsaddle::{daemon, settings::Settings};
+use std::process::ExitCode;
+
+/// A cluster scheduler: controllers that take jobs, rent machines and decide what runs where.
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Action,
+}
+
+#[derive(Subcommand)]
+enum Action {
+    /// Run a controller until it is killed. Logs go to standard error, as much as LOG_LEVEL
+    /// (error, info or debug) says.
+    Run {
+        /// The platform's settings file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: String,
+    },
+    /// Check a settings file and print what follows from it.
+    Check {
+        /// The platform's settings file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: String,
+    },
+}
+
+fn logs() {
+    let level = std::env::var("LOG_LEVEL").unwrap_or_default();
+    let filter = match level.as_str() {
+        "debug" => "hazelsaddle=debug,info",
+        "error" => "error",
+        _ => "info",
+    };
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_env_filter(tracing_subscriber::EnvFilter::new(filter))
+        .with_ansi(false)
+        .init();
+}
+
+fn main() -> ExitCode {
+    let load = |file: &str| {
+        Settings::load(file).map_err(|e| {
+            eprintln!("hazelsaddle: {e}");
+            ExitCode::from(2)
+        })
+    };
+    match Cli::parse().command {
+        Action::Run { config } => {
+            logs();
+            let settings = match load(&config) {
+                Ok(s) => s,
+                Err(code) => return code,
+            };
+            if let Err(e) = daemon::run(settings) {
+                eprintln!("hazelsaddle: {e}");
+                return ExitCode::from(1);
+            }
+            ExitCode::SUCCESS
+        }
+        Action::Check { config } => match load(&config) {
+            Ok(s) => {
+                println!("{s:#?}");
+                ExitCode::SUCCESS
+            }
+            Err(code) => code,
+        },
+    }
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,443 @@
+//! What controllers say to one another, and the links that carry it: framed TCP, each message an
+//! `rkyv` archive that is validated on arrival. Messages hold whole states, not changes, so a lost
+//! one is made good by the next.
+
+use crate::units::{Micros, Room};
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use rkyv::{Archive, Deserialize, Serialize};
+use std::io::{Read, Write};
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::time::Duration;
+
+/// Longest frame taken.
+const FRAME_LIMIT: usize = 4 << 20;
+/// Frames that wait for a slow peer; more are dropped, the next digest says the same.
+const QUEUE: usize = 64;
+/// Peer connections taken at a time, so that a stray client can't use up threads.
+const LINKS: usize = 64;
+
+/// One start of one task.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[rkyv(derive(Debug))]
+pub struct TaskKey {
+    /// The job.
+    pub job: String,
+    /// The task's number.
+    pub index: u32,
+    /// Which start.
+    pub attempt: u64,
+}
+
+/// What an owner wants of a start that it has placed.
+#[derive(Archive, Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Want {
+    /// Keep room for it, don't start it yet (gangs).
+    Hold,
+    /// Start it.
+    Run,
+    /// It was seen on the machine: keep it, never start it anew.
+    Keep,
+    /// Stop it, giving it this long to save.
+    Stop(Micros),
+    /// Its end is on record: let the worker forget it.
+    Forget,
+}
+
+/// A start that an owner has placed on a machine of the receiving home.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Wanted {
+    /// Which start.
+    pub key: TaskKey,
+    /// On which machine.
+    pub machine: String,
+    /// What it takes.
+    pub room: Room,
+    /// What is wanted.
+    pub want: Want,
+}
+
+/// Where a start stands, as its home sees it.
+#[derive(Archive, Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Room is kept.
+    Held,
+    /// Accepted; the command goes out with the next answer to the machine.
+    Queued,
+    /// The command is out; whether it arrived is not yet known.
+    InDoubt,
+    /// Waiting for its image.
+    Fetching,
+    /// Waiting for its gang.
+    Waiting,
+    /// Running.
+    Running,
+    /// Saving.
+    Saving,
+    /// Ended.
+    Exited(Exit),
+}
+
+/// How a task ended.
+#[derive(Archive, Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// Completed.
+    Done,
+    /// Stopped by command; whether it saved.
+    Stopped(bool),
+    /// Another task of the gang is gone.
+    Peers,
+    /// The gang was not complete in time.
+    Alone,
+    /// Failed.
+    Error,
+    /// The worker refused it for want of room.
+    NoRoom,
+    /// The worker has another attempt of it.
+    Busy,
+    /// The worker knows no such task.
+    Unknown,
+}
+
+/// A start on a machine of the sending home.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Actual {
+    /// Which start.
+    pub key: TaskKey,
+    /// Where it stands.
+    pub phase: Phase,
+}
+
+/// What is known of a machine's tasks.
+#[derive(Archive, Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may hold tasks that its home doesn't know of.
+    Unconfirmed,
+    /// Its tasks are exactly those listed.
+    Known,
+    /// It is gone for good, with all its tasks.
+    Gone,
+}
+
+/// A machine in a home's digest, with those of its tasks that the receiver owns.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct MachineDigest {
+    /// The machine.
+    pub name: String,
+    /// Its type.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// What is known of its tasks.
+    pub standing: Standing,
+    /// Whether it takes new tasks.
+    pub open: bool,
+    /// Time until the cloud takes it away, if that was announced.
+    pub notice: Option<Micros>,
+    /// Free room.
+    pub free: Room,
+    /// All its room.
+    pub total: Room,
+    /// How many tasks of any owner are on it or accepted for it.
+    pub busy: u32,
+    /// How long it has been without a task.
+    pub idle: Micros,
+    /// How long it has been silent.
+    pub silent: Micros,
+    /// The receiver's tasks on it.
+    pub tasks: Vec<Actual>,
+}
+
+/// Tasks of one shape that an owner can't place for want of machines.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// What one takes.
+    pub room: Room,
+    /// Allowed machine types; empty: any.
+    pub kinds: Vec<String>,
+    /// The only allowed zone.
+    pub zone: Option<String>,
+    /// All of a gang must be in one zone.
+    pub one_zone: bool,
+    /// Whether spot machines will do.
+    pub spot: bool,
+    /// How many.
+    pub count: u32,
+    /// Estimated run time of one.
+    pub estimate: Micros,
+    /// Priority, higher first.
+    pub priority: u8,
+}
+
+/// The body of a frame.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub enum Message {
+    /// Owner to home: all that the sender wants on the receiver's machines.
+    Wanted {
+        /// Grows with every such message.
+        rev: u64,
+        /// The starts.
+        list: Vec<Wanted>,
+    },
+    /// Home to owner: all the sender's machines.
+    Digest {
+        /// Grows with every such message.
+        seq: u64,
+        /// The receiver's latest `rev` that this state takes account of.
+        rev_seen: u64,
+        /// The machines.
+        machines: Vec<MachineDigest>,
+    },
+    /// Owner to decider: what can't be placed.
+    Demands(Vec<Demand>),
+    /// Decider to home: machines to take no new tasks for, and machines the cloud has taken.
+    Fleet {
+        /// Machines about to be returned.
+        drain: Vec<String>,
+        /// Machines whose return the cloud has confirmed.
+        gone: Vec<String>,
+    },
+    /// A user's request passed to the owner.
+    Ask {
+        /// The sender's number for it.
+        id: u64,
+        /// The request.
+        request: UserRequest,
+    },
+    /// The owner's answer to it.
+    Answer {
+        /// The number it was asked under.
+        id: u64,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Only what every frame says: epoch and clocks.
+    Beat,
+}
+
+/// A user's request.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub enum UserRequest {
+    /// Submit; the checked body as the user sent it, and the job's id.
+    Submit(String, String),
+    /// Query.
+    Query(String),
+    /// Withdraw.
+    Withdraw(String),
+}
+
+impl UserRequest {
+    /// The job it is about.
+    pub fn job(&self) -> &str {
+        match self {
+            UserRequest::Submit(id, _) | UserRequest::Query(id) | UserRequest::Withdraw(id) => id,
+        }
+    }
+}
+
+/// An answer to a user or worker.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// JSON.
+    pub body: String,
+    /// Seconds after which to come back.
+    pub retry_after: Option<u32>,
+}
+
+impl Reply {
+    /// An answer with a body.
+    pub fn json(status: u16, body: &serde_json::Value) -> Reply {
+        Reply { status, body: body.to_string(), retry_after: None }
+    }
+    /// An error with its reason.
+    pub fn error(status: u16, reason: &str) -> Reply {
+        Reply::json(status, &serde_json::json!({ "error": reason }))
+    }
+    /// Not now; come back.
+    pub fn later(reason: &str) -> Reply {
+        Reply { retry_after: Some(1), ..Reply::error(503, reason) }
+    }
+}
+
+/// What travels between controllers. Every frame also confirms to the receiver which epoch the
+/// sender knows, and how much of the receiver's clock it has heard.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Frame {
+    /// The sender's number.
+    pub from: u32,
+    /// The epoch the sender has adopted.
+    pub epoch: u64,
+    /// The sender's steady clock.
+    pub clock: Micros,
+    /// Which process the sender is.
+    pub boot: u64,
+    /// The latest clock reading of the receiver that the sender has had.
+    pub echo: Micros,
+    /// Which process of the receiver that reading came from: a restarted one may count anew.
+    pub echo_boot: u64,
+    /// The rest.
+    pub body: Message,
+}
+
+impl Frame {
+    /// The frame as bytes, with its length in front.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let bytes = rkyv::to_bytes::<rkyv::rancor::Error>(self).ok()?;
+        let mut out = Vec::with_capacity(bytes.len() + 4);
+        out.extend_from_slice(&u32::try_from(bytes.len()).ok()?.to_le_bytes());
+        out.extend_from_slice(&bytes);
+        Some(out)
+    }
+    /// Reads the bytes behind the length; None if they are no valid frame.
+    pub fn decode(bytes: &[u8]) -> Option<Frame> {
+        let mut aligned: rkyv::util::AlignedVec = rkyv::util::AlignedVec::with_capacity(bytes.len());
+        aligned.extend_from_slice(bytes);
+        rkyv::from_bytes::<Frame, rkyv::rancor::Error>(&aligned).ok()
+    }
+}
+
+/// Starts a thread that keeps a connection to one peer and sends it frames.
+pub fn dial(addr: SocketAddrV4) -> Sender<Frame> {
+    let (tx, rx): (Sender<Frame>, Receiver<Frame>) = bounded(QUEUE);
+    std::thread::spawn(move || {
+        let mut link: Option<TcpStream> = None;
+        while let Ok(frame) = rx.recv() {
+            if link.is_none() {
+                link = TcpStream::connect_timeout(&addr.into(), Duration::from_millis(500)).ok();
+                if let Some(l) = &link {
+                    let _ = l.set_nodelay(true);
+                    // A peer that reads nothing must not hold this thread for ever.
+                    let _ = l.set_write_timeout(Some(Duration::from_secs(2)));
+                }
+                // What waited while there was no link is stale: states follow anyway.
+                if link.is_none() {
+                    while rx.try_recv().is_ok() {}
+                    std::thread::sleep(Duration::from_millis(200));
+                    continue;
+                }
+            }
+            if let (Some(l), Some(bytes)) = (&mut link, frame.encode())
+                && l.write_all(&bytes).is_err()
+            {
+                link = None;
+            }
+        }
+    });
+    tx
+}
+
+/// Puts a frame on a peer's queue, or drops it if the queue is full.
+pub fn enqueue(tx: &Sender<Frame>, frame: Frame) {
+    if let Err(TrySendError::Full(_)) = tx.try_send(frame) {
+        tracing::debug!("a peer's queue is full; frame dropped");
+    }
+}
+
+/// Starts a thread that takes peers' connections and hands on their frames.
+pub fn listen(
+    addr: SocketAddrV4,
+    take: impl Fn(Frame) + Send + Clone + 'static,
+) -> std::io::Result<SocketAddrV4> {
+    let listener = TcpListener::bind(addr)?;
+    let local = match listener.local_addr()? {
+        std::net::SocketAddr::V4(a) => a,
+        std::net::SocketAddr::V6(_) => addr,
+    };
+    std::thread::spawn(move || {
+        let open = std::sync::Arc::new(());
+        for link in listener.incoming() {
+            let Ok(link) = link else {
+                std::thread::sleep(Duration::from_millis(50));
+                continue;
+            };
+            if std::sync::Arc::strong_count(&open) > LINKS {
+                continue;
+            }
+            let (take, guard) = (take.clone(), open.clone());
+            std::thread::spawn(move || {
+                let _guard = guard;
+                read_frames(link, take);
+            });
+        }
+    });
+    Ok(local)
+}
+
+fn read_frames(mut link: TcpStream, take: impl Fn(Frame)) {
+    // A peer speaks several times a second; one that fell silent has another connection by now.
+    let _ = link.set_read_timeout(Some(Duration::from_secs(60)));
+    let mut size = [0u8; 4];
+    let mut buffer = Vec::new();
+    while link.read_exact(&mut size).is_ok() {
+        let n = u32::from_le_bytes(size) as usize;
+        if n > FRAME_LIMIT {
+            tracing::error!(bytes = n, "a peer's frame is too long; connection closed");
+            return;
+        }
+        buffer.resize(n, 0);
+        if link.read_exact(&mut buffer).is_err() {
+            return;
+        }
+        match Frame::decode(&buffer) {
+            Some(f) => take(f),
+            None => {
+                tracing::error!(bytes = n, "a peer's frame is malformed; connection closed");
+                return;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+    #[test]
+    fn frames_survive_the_trip_and_broken_ones_are_refused() {
+        let key = TaskKey { job: "wk-1".into(), index: 3, attempt: 9 };
+        let f = Frame {
+            from: 1,
+            epoch: 7,
+            clock: Micros(5),
+            boot: 1,
+            echo: Micros(4),
+            echo_boot: 2,
+            body: Message::Digest {
+                seq: 2,
+                rev_seen: 1,
+                machines: vec![MachineDigest {
+                    name: "i-1".into(),
+                    kind: "k".into(),
+                    zone: "z".into(),
+                    spot: true,
+                    standing: Standing::Known,
+                    open: true,
+                    notice: None,
+                    free: Room::need(1.0, 0.0, 2.0),
+                    total: Room::need(2.0, 0.0, 4.0),
+                    busy: 1,
+                    idle: Micros(0),
+                    silent: Micros(1),
+                    tasks: vec![Actual { key, phase: Phase::Exited(Exit::Stopped(true)) }],
+                }],
+            },
+        };
+        let bytes = f.encode().unwrap();
+        assert_eq!(Frame::decode(&bytes[4..]), Some(f));
+        let mut rng = StdRng::seed_from_u64(1);
+        for _ in 0..2000 {
+            let mut broken = bytes[4..].to_vec();
+            for _ in 0..rng.random_range(1..6) {
+                let at = rng.random_range(0..broken.len());
+                broken[at] = rng.random();
+            }
+            broken.truncate(rng.random_range(0..=broken.len()));
+            let _ = Frame::decode(&broken);
+        }
+        assert_eq!(Frame::decode(&[]), None);
+    }
+}
--- /dev/null
+++ b/src/ring.rs
@@ -0,0 +1,220 @@
+//! The ring: members, the epoch (the workers' token), who owns what, and who may act.
+
+use crate::settings::Settings;
+use crate::units::Micros;
+use serde::{Deserialize, Serialize};
+use twox_hash::XxHash64;
+
+/// Points a member has on the ring. The paper gives each coordinator one; three controllers
+/// with a point each can share the work very unequally, so each has many.
+const POINTS: u32 = 64;
+
+/// Which controllers are on the ring, and so who owns each job and machine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ring {
+    points: Vec<(u64, usize)>,
+}
+
+fn hash(text: &str) -> u64 {
+    XxHash64::oneshot(0, text.as_bytes())
+}
+
+impl Ring {
+    /// The ring of these controllers, by number.
+    pub fn new(names: &[String], members: &[usize]) -> Ring {
+        let mut points: Vec<(u64, usize)> = members
+            .iter()
+            .filter(|&&m| m < names.len())
+            .flat_map(|&m| (0..POINTS).map(move |i| (hash(&format!("{}#{i}", names[m])), m)))
+            .collect();
+        points.sort_unstable();
+        Ring { points }
+    }
+    /// The controller clockwise of this key's hash.
+    pub fn owner(&self, key: &str) -> Option<usize> {
+        let h = hash(key);
+        let at = self.points.partition_point(|&(p, _)| p < h);
+        self.points.get(at).or(self.points.first()).map(|&(_, m)| m)
+    }
+}
+
+/// The record under `ring/epoch`.
+#[derive(Serialize, Deserialize, Clone, Debug, Default, PartialEq, Eq)]
+pub struct EpochRecord {
+    /// The epoch; also the workers' token.
+    pub epoch: u64,
+    /// Its members and which process of each (a random number drawn at start).
+    pub members: Vec<(String, u64)>,
+}
+
+/// What this controller knows of the ring and of its own right to act.
+pub struct Membership {
+    names: Vec<String>,
+    /// This controller's number.
+    pub me: usize,
+    /// This process, to tell it from earlier ones of the same name.
+    pub boot: u64,
+    member_lease: Micros,
+    confirmation: Micros,
+    /// The adopted epoch; 0 before the first.
+    pub epoch: u64,
+    /// Store version of the epoch record; every write carries it as a condition.
+    pub mark: u64,
+    /// Members of the adopted epoch.
+    pub members: Vec<usize>,
+    /// The ring of the adopted epoch.
+    pub ring: Ring,
+    /// When it was adopted.
+    pub adopted_at: Micros,
+    /// Until when the store's word entitles this controller to act.
+    store_until: Micros,
+    /// Per controller: the highest epoch it said it knows, and the latest of our own clock
+    /// readings that it had heard when it said so.
+    heard: Vec<(u64, Micros)>,
+}
+
+impl Membership {
+    /// Before the first epoch.
+    pub fn new(s: &Settings, boot: u64) -> Membership {
+        Membership {
+            names: s.members.clone(),
+            me: s.me,
+            boot,
+            member_lease: s.member_lease,
+            confirmation: s.confirmation,
+            epoch: 0,
+            mark: 0,
+            members: Vec::new(),
+            ring: Ring::default(),
+            adopted_at: Micros(0),
+            store_until: Micros(0),
+            heard: vec![(0, Micros(0)); s.members.len()],
+        }
+    }
+
+    /// The record that follows `old` when the controllers in `alive` are to be its members.
+    pub fn next_record(old: &EpochRecord, alive: &[(String, u64)]) -> EpochRecord {
+        let mut members = alive.to_vec();
+        members.sort();
+        EpochRecord { epoch: old.epoch + 1, members }
+    }
+
+    /// Whether this process is a member by that record.
+    pub fn is_in(&self, r: &EpochRecord) -> bool {
+        r.members.iter().any(|(m, b)| *m == self.names[self.me] && *b == self.boot)
+    }
+
+    /// Takes up a newer epoch. Returns whether it directly follows the one held, in which case
+    /// nobody else can have commanded what stays ours.
+    pub fn adopt(&mut self, now: Micros, r: &EpochRecord, mark: u64) -> bool {
+        let follows = self.epoch != 0 && r.epoch == self.epoch + 1;
+        self.epoch = r.epoch;
+        self.mark = mark;
+        self.members = r.members.iter().filter_map(|(m, _)| self.names.iter().position(|n| n == m)).collect();
+        self.ring = Ring::new(&self.names, &self.members);
+        self.adopted_at = now;
+        follows
+    }
+
+    /// The store renewed our lease and showed the adopted epoch as the newest; both requests
+    /// were sent no earlier than `sent`.
+    pub fn confirmed_by_store(&mut self, sent: Micros) {
+        self.store_until = self.store_until.max(sent + self.member_lease.shortened());
+    }
+
+    /// The lease is gone.
+    pub fn lease_lost(&mut self) {
+        self.store_until = Micros(0);
+    }
+
+    /// A peer said that it knows `epoch` and had heard our clock at `echo`.
+    pub fn heard_from(&mut self, peer: usize, epoch: u64, echo: Micros) {
+        if let Some(h) = self.heard.get_mut(peer) {
+            if epoch >= h.0 {
+                // An echo under an older epoch is no confirmation of the newer one.
+                h.1 = if epoch > h.0 { echo } else { h.1.max(echo) };
+                h.0 = epoch;
+            } else {
+                // The peer was restarted and knows less than it did.
+                *h = (epoch, echo);
+            }
+        }
+    }
+
+    /// Whether this controller may answer and command: by the store's word, or, when the store
+    /// is silent, by that of every other controller. A controller can't tell an outage from a
+    /// 503 of its own, hence *every* other one.
+    pub fn may_act(&self, now: Micros) -> bool {
+        if self.epoch == 0 || !self.members.contains(&self.me) {
+            return false;
+        }
+        if now < self.store_until {
+            return true;
+        }
+        self.heard.len() > 1
+            && (0..self.heard.len()).filter(|&p| p != self.me).all(|p| {
+                self.heard[p].0 == self.epoch
+                    && now < self.heard[p].1 + self.confirmation.shortened()
+                    && self.heard[p].1 > Micros(0)
+            })
+    }
+
+    /// Whether no other controller can still be acting under an older epoch: each has said that
+    /// it knows this one, or its right to act has run out. A member's right lasts a lease from
+    /// when the epoch was raised at the latest; one that is no member lost its lease before
+    /// that, and lives at most on the confirmation that we gave before adopting.
+    pub fn others_have_stopped(&self, now: Micros) -> bool {
+        (0..self.heard.len()).filter(|&p| p != self.me).all(|p| {
+            let wait = if self.members.contains(&p) { self.member_lease } else { self.confirmation };
+            self.heard[p].0 >= self.epoch || now >= self.adopted_at + wait.stretched()
+        })
+    }
+
+    /// From when on no older token can be answering any worker.
+    pub fn older_silent_at(&self) -> Micros {
+        self.adopted_at + self.member_lease.stretched()
+    }
+
+    /// The owner of a job.
+    pub fn job_owner(&self, id: &str) -> Option<usize> {
+        self.ring.owner(&format!("job/{id}"))
+    }
+    /// The home of a machine.
+    pub fn home(&self, machine: &str) -> Option<usize> {
+        self.ring.owner(&format!("machine/{machine}"))
+    }
+    /// Who rents and returns machines.
+    pub fn decider(&self) -> Option<usize> {
+        self.ring.owner("fleet")
+    }
+    /// A controller's name.
+    pub fn name(&self, n: usize) -> &str {
+        self.names.get(n).map_or("?", String::as_str)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names() -> Vec<String> {
+        (0..3).map(|i| format!("c{i}")).collect()
+    }
+
+    #[test]
+    fn a_lost_member_moves_only_its_own_keys() {
+        let all = Ring::new(&names(), &[0, 1, 2]);
+        let two = Ring::new(&names(), &[0, 2]);
+        let mut share = [0; 3];
+        for k in 0..3000 {
+            let key = format!("job/wk-{k:06}");
+            let was = all.owner(&key).unwrap();
+            share[was] += 1;
+            if was != 1 {
+                assert_eq!(two.owner(&key), Some(was));
+            }
+        }
+        assert!(share.iter().all(|&s| s > 600), "{share:?}");
+        assert_eq!(Ring::default().owner("x"), None);
+    }
+}
