Reserve machines for waiting gangs, leave big types to urgent work, rent only the excess

Owners now reserve machines for a gang that can't be placed, the decider leaves types to urgent work that fits nowhere else, and work that may queue is rented for only beyond what the fleet gets done in that time.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -193,6 +193,8 @@
     /// Machines whose return was confirmed, and when.
     gone: BTreeMap<String, Micros>,
     acting_since: Option<Micros>,
+    /// Types, and whether spot, left to work of at least a priority.
+    pub kept: Vec<(String, bool, u8)>,
     /// Whether guarantees ask for room to be kept.
     guarantees: bool,
     next_plan: Micros,
@@ -219,6 +221,7 @@
             drain: BTreeSet::new(),
             gone: BTreeMap::new(),
             acting_since: None,
+            kept: Vec::new(),
             guarantees,
             next_plan: Micros(0),
         }
@@ -335,6 +338,7 @@
             return None;
         }
         let by_name: BTreeMap<&str, &MachineDigest> = machines.iter().map(|d| (d.name.as_str(), d)).collect();
+        self.keep(now, machines);
         let returns = self.returns(now, &by_name, since);
         if !returns.is_empty() {
             return self.out(CloudRequest::Return(returns));
@@ -364,7 +368,6 @@
         since: Micros,
     ) -> Vec<String> {
         let mut out = Vec::new();
-        let waiting: u32 = self.fresh_demands(now).iter().map(|d| d.count).sum();
         let mut drain = BTreeSet::new();
         for d in machines.values() {
             if d.standing == Standing::Gone || self.gone.contains_key(&d.name) {
@@ -373,14 +376,18 @@
             let failed =
                 self.listed.as_ref().and_then(|l| l.get(&d.name)).is_some_and(|l| l.state == "failed");
             // Keeping an idle machine is worth it as long as it costs less than booting one.
+            // One that urgent work may need before another could boot is kept for longer.
+            let boot = self.boot_time(&d.kind).0;
             let patience = if self.guarantees {
                 Micros::from_millis(900_000)
+            } else if self.kept.iter().any(|(k, spot, _)| *k == d.kind && *spot == d.spot) {
+                Micros(boot * 3)
             } else {
-                Micros(self.boot_time(&d.kind).0 * 3 / 4)
+                Micros(boot * 3 / 4)
             };
             if failed || d.silent > Micros::from_millis(40_000) {
                 out.push(d.name.clone());
-            } else if (d.idle > patience && waiting == 0) || (self.drain.contains(&d.name) && d.busy == 0) {
+            } else if d.idle > patience || (self.drain.contains(&d.name) && d.busy == 0) {
                 drain.insert(d.name.clone());
                 if self.drain.contains(&d.name) && !d.open && d.busy == 0 && d.standing == Standing::Known {
                     out.push(d.name.clone());
@@ -406,11 +413,51 @@
         out
     }
 
+    /// Which types to leave to urgent work: those on which alone some shape of job fits that others
+    /// of lower priority don't need, as long as that is the smaller part of the fleet.
+    fn keep(&mut self, now: Micros, machines: &[MachineDigest]) {
+        let shapes = self.fresh_demands(now);
+        let mut options: BTreeSet<(String, bool)> = BTreeSet::new();
+        for t in self.types.values() {
+            options.extend([(t.name.clone(), false), (t.name.clone(), true)]);
+        }
+        let fits = |d: &Demand, (kind, spot): &(String, bool)| {
+            *spot <= d.spot
+                && (d.kinds.is_empty() || d.kinds.contains(kind))
+                && self.room(kind).is_some_and(|r| r.holds(d.room))
+        };
+        let lowest = shapes.iter().map(|d| d.priority).min().unwrap_or(0);
+        let mut kept = Vec::new();
+        for d in shapes.iter().filter(|d| d.priority > lowest) {
+            let only: Vec<&(String, bool)> = options.iter().filter(|o| fits(d, o)).collect();
+            let part: i64 = machines
+                .iter()
+                .filter(|x| only.iter().any(|o| o.0 == x.kind && o.1 == x.spot))
+                .map(|x| x.total.cpus)
+                .sum();
+            let all: i64 = machines.iter().map(|x| x.total.cpus).sum();
+            // What is kept idles at times; where it is most of the fleet that costs more than
+            // it gains.
+            if !only.is_empty()
+                && only.len() * 2 <= options.len()
+                && (part * 2 <= all || machines.len() < 10)
+                && options.len() > 2
+            {
+                for (kind, spot) in only {
+                    if !kept.contains(&(kind.clone(), *spot, d.priority)) {
+                        kept.push((kind.clone(), *spot, d.priority));
+                    }
+                }
+            }
+        }
+        self.kept = kept;
+    }
+
     fn fresh_demands(&self, now: Micros) -> Vec<Demand> {
         let fresh = |t: Micros| now.since(t) < Micros::from_millis(3000);
         let mut all: Vec<Demand> =
             self.demands.values().filter(|(t, _)| fresh(*t)).flat_map(|(_, d)| d.iter().cloned()).collect();
-        all.sort_by_key(|d| std::cmp::Reverse(d.priority));
+        all.sort_by_key(|d| (std::cmp::Reverse(d.priority), d.horizon));
         all
     }
 
@@ -433,27 +480,52 @@
                 coming.push((l.kind.clone(), l.zone.clone(), l.spot, self.room(&l.kind).unwrap_or_default()));
             }
         }
-        for d in self.fresh_demands(now) {
+        let usable: Vec<(String, String, bool, Room)> = machines
+            .values()
+            .filter(|d| d.open)
+            .map(|d| (d.kind.clone(), d.zone.clone(), d.spot, d.total))
+            .collect();
+        let kept = |kind: &str, spot: bool, priority: u8| {
+            self.kept.iter().any(|(k, s, p)| k == kind && *s == spot && *p > priority)
+        };
+        let mut queued = 0.0;
+        for d in self.fresh_demands(now).into_iter().filter(|d| d.count > 0) {
             let mut left = i64::from(d.count);
             let fits = |kind: &str, zone: &str, spot: bool| {
                 (d.kinds.is_empty() || d.kinds.iter().any(|k| k == kind))
                     && d.zone.as_ref().is_none_or(|z| z == zone)
                     && spot <= d.spot
             };
-            // Without guarantees to keep, a machine must earn its boot: short tasks of low
-            // priority may queue for about as long as a machine takes to come up.
-            let rounds = if self.guarantees || d.priority > 0 || d.estimate.0 == 0 {
-                1
+            // Work that may queue is weighed against what the machines there are get done in that
+            // time; only the excess is worth a machine, which earns nothing while it boots.
+            if d.horizon.0 > 0 && d.estimate.0 > 0 {
+                let estimate = d.estimate.0.max(1_000_000) as f64;
+                let horizon = d.horizon.0.max(d.estimate.0) as f64;
+                let slots: i64 = usable
+                    .iter()
+                    .map(
+                        |(k, z, s, r)| {
+                            if fits(k, z, *s) && !kept(k, *s, d.priority) { r.count_of(d.room) } else { 0 }
+                        },
+                    )
+                    .sum::<i64>()
+                    + coming
+                        .iter()
+                        .map(|(k, z, s, r)| if fits(k, z, *s) { r.count_of(d.room) } else { 0 })
+                        .sum::<i64>();
+                queued += left as f64 * estimate;
+                let excess = queued - slots as f64 * (horizon - estimate / 2.0);
+                if excess <= 0.0 {
+                    continue;
+                }
+                left = left.min((excess / horizon).ceil() as i64);
             } else {
-                let boot = self.types.values().map(|t| Micros::from_secs(t.boot_s).0).max().unwrap_or(0);
-                (boot * 3 / 2 / d.estimate.0.max(1_000_000)).clamp(1, 6) as i64
-            };
-            left = (left + rounds - 1) / rounds;
-            for (kind, zone, spot, free) in &mut coming {
-                if left > 0 && fits(kind, zone, *spot) {
-                    let n = free.count_of(d.room).clamp(0, left);
-                    *free = *free - d.room.times(n);
-                    left -= n;
+                for (kind, zone, spot, free) in &mut coming {
+                    if left > 0 && fits(kind, zone, *spot) {
+                        let n = free.count_of(d.room).clamp(0, left);
+                        *free = *free - d.room.times(n);
+                        left -= n;
+                    }
                 }
             }
             if left <= 0 {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,9 +1,9 @@
 //! The owner side of jobs: records, where each task stands, starts and stops, gangs, takeover.
 
-use crate::peer::{Demand, Exit, MachineDigest, Phase, Standing, TaskKey, Want, Wanted};
+use crate::peer::{Demand, Exit, MachineDigest, Phase, Reservation, Standing, TaskKey, Want, Wanted};
 use crate::placement::{self, Place, ZoneCounts};
 use crate::ring::Membership;
-use crate::settings::Settings;
+use crate::settings::{Objective, Settings};
 use crate::spec::{Kind, Spec};
 use crate::teams::{Need, Teams};
 use crate::units::{Micros, Ranges, Room};
@@ -73,12 +73,16 @@
     /// Its record's version must be read again first.
     pub verify: bool,
     next_write: Micros,
+    /// Machines kept for it while it waits. They stay the same ones: a choice that moved on with
+    /// every pass would empty one machine after another.
+    keeps: Vec<String>,
 }
 
 /// An old start that is stopping or waits to be forgotten.
 #[derive(Clone, Debug)]
 struct Leftover {
     room: Room,
+    priority: u8,
     zone: String,
     want: Want,
     alive: bool,
@@ -128,6 +132,17 @@
     shunned: BTreeMap<String, (u32, Micros)>,
     demands: Vec<Demand>,
     gang_wait: Micros,
+    objectives: Vec<Objective>,
+    /// Machines kept for our waiting work.
+    reserved: Vec<Reservation>,
+    /// The same of other owners, and when they said so.
+    others: BTreeMap<usize, (Micros, Vec<Reservation>)>,
+    /// When tasks were last stopped on a machine to make room.
+    evicted: BTreeMap<String, Micros>,
+    /// Types that the decider leaves to urgent work.
+    kept_types: Vec<(String, bool, u8)>,
+    /// Shapes of jobs seen of late, and when.
+    shapes: Vec<(Demand, Micros)>,
 }
 
 impl Owner {
@@ -151,6 +166,12 @@
             shunned: BTreeMap::new(),
             demands: Vec::new(),
             gang_wait: s.gang_wait,
+            objectives: s.objectives.clone(),
+            reserved: Vec::new(),
+            others: BTreeMap::new(),
+            evicted: BTreeMap::new(),
+            kept_types: Vec::new(),
+            shapes: Vec::new(),
         }
     }
 
@@ -184,6 +205,8 @@
         self.unheard.clear();
         self.dirty.fill(true);
         self.demands.clear();
+        self.reserved.clear();
+        self.others.clear();
     }
 
     /// The records were read: `machines` are those that may hold tasks.
@@ -229,6 +252,7 @@
             writing: false,
             verify: false,
             next_write: Micros(0),
+            keeps: Vec::new(),
         };
         self.jobs.insert(id, job);
         self.replan = true;
@@ -297,7 +321,8 @@
     #[allow(clippy::too_many_arguments)]
     fn leave(&mut self, id: &str, idx: u32, p: &Placed, room: Room, want: Want, alive: bool, done: bool) {
         let key = (id.to_owned(), idx, p.machine.clone(), p.attempt);
-        let left = Leftover { room, zone: p.zone.clone(), want, alive, done, asked: u64::MAX };
+        let priority = self.jobs.get(id).map_or(0, |j| j.spec.priority);
+        let left = Leftover { room, priority, zone: p.zone.clone(), want, alive, done, asked: u64::MAX };
         self.leftovers.insert(key, left);
     }
 
@@ -329,6 +354,7 @@
                     machine: machine.clone(),
                     room: j.spec.room,
                     want: p.want,
+                    priority: j.spec.priority,
                 });
             }
         }
@@ -342,6 +368,7 @@
                 machine: machine.clone(),
                 room: l.room,
                 want: l.want,
+                priority: l.priority,
             });
         }
         (rev, out)
@@ -592,13 +619,62 @@
         if j.done.len() == j.spec.tasks {
             return;
         }
+        self.stop_gang(id, Micros(0));
+    }
+
+    fn stop_gang(&mut self, id: &str, grace: Micros) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
         j.gang = if j.placed.is_empty() { None } else { Some(Gang::Ending) };
         for p in j.placed.values_mut() {
-            p.want = Want::Stop(Micros(0));
+            // One that is saving already keeps its time.
+            if !matches!(p.want, Want::Stop(_)) {
+                p.want = Want::Stop(grace);
+            }
         }
         self.dirty.fill(true);
     }
 
+    /// How long a job's tasks may queue before a machine is worth renting for them: not at all
+    /// where a guarantee or a waiting time is promised, otherwise a part of the time in which the
+    /// job is expected to be done.
+    fn horizon(&self, j: &Job, guaranteed: bool, age: Micros) -> Micros {
+        let of = |kind: &str| {
+            let mine = self.objectives.iter().filter(|o| o.kind == kind && o.class == j.spec.class);
+            mine.map(|o| Micros::from_secs(o.within_s).0).min()
+        };
+        if guaranteed || j.spec.kind == Kind::Service || of("wait").is_some() {
+            return Micros(0);
+        }
+        let within = of("finished").or(j.spec.deadline.map(|d| d.0)).unwrap_or(120_000_000);
+        Micros((within * 2 / 5).saturating_sub(age.0 / 2))
+    }
+
+    /// How long work may wait before work of lower priority is stopped for it.
+    fn patience(&self, s: &Spec) -> Micros {
+        let promised = self.objectives.iter().filter(|o| o.kind == "wait" && o.class == s.class);
+        let within = promised.map(|o| Micros::from_secs(o.within_s).0).min().unwrap_or(60_000_000);
+        Micros(within / 4)
+    }
+
+    fn note_shape(&mut self, now: Micros, s: &Spec) {
+        let d = Demand {
+            room: s.room,
+            kinds: s.kinds.clone(),
+            zone: s.zone.clone(),
+            one_zone: s.one_zone,
+            spot: s.spot,
+            count: 0,
+            estimate: Micros(0),
+            priority: s.priority,
+            horizon: Micros(0),
+        };
+        if let Some((_, t)) = self.shapes.iter_mut().find(|(x, _)| *x == d) {
+            *t = now;
+        } else if self.shapes.len() < 100 {
+            self.shapes.push((d, now));
+        }
+    }
+
     fn settle(&mut self) {
         if self.loaded && self.unheard.is_empty() {
             for j in self.jobs.values_mut().filter(|j| !j.settled) {
@@ -693,15 +769,93 @@
                     spot: d.spot,
                     free,
                     total: d.total,
-                    kept_for: None,
+                    by_priority: d.by_priority.clone(),
+                    kept_for: self
+                        .kept_types
+                        .iter()
+                        .filter(|(k, spot, _)| *k == d.kind && *spot == d.spot)
+                        .map(|t| t.2)
+                        .max(),
                 });
             }
         }
+        for r in self.foreign(now) {
+            if let Some(p) = out.iter_mut().find(|p| p.name == r.machine) {
+                p.kept_for = p.kept_for.max(Some(r.priority));
+            }
+        }
         out
     }
 
+    fn foreign(&self, now: Micros) -> impl Iterator<Item = &Reservation> {
+        let fresh = move |t: Micros| now.since(t) < Micros::from_millis(3000);
+        self.others.values().filter(move |(t, _)| fresh(*t)).flat_map(|(_, l)| l)
+    }
+
+    /// Takes another owner's reservations.
+    pub fn others_reserve(&mut self, now: Micros, from: usize, list: Vec<Reservation>) {
+        self.others.insert(from, (now, list));
+    }
+    /// Our reservations.
+    pub fn reserved(&self) -> &[Reservation] {
+        &self.reserved
+    }
+    /// The decider's word on types left to urgent work.
+    pub fn keep_types(&mut self, kept: Vec<(String, bool, u8)>) {
+        self.kept_types = kept;
+    }
+
+    /// Stops our tasks of lower priority where waiting work needs the room, those that have run
+    /// the shortest first, and no more than the machine's own room falls short.
+    fn evict(&mut self, now: Micros, m: &Membership, teams: &Teams) {
+        let list: Vec<Reservation> =
+            self.foreign(now).chain(&self.reserved).filter(|r| r.evict).cloned().collect();
+        for r in list {
+            // The digest must have caught up with the last stops before there are more.
+            let pause = Micros::from_millis(1500);
+            if self.evicted.get(&r.machine).is_some_and(|t| now.since(*t) < pause) {
+                continue;
+            }
+            let Some(d) = self.machines(m.epoch).find(|d| d.name == r.machine) else { continue };
+            // What other owners are already stopping counts as free.
+            let mut free = d.by_priority.iter().fold(d.total, |a, (_, r)| a - *r);
+            if free.holds(r.need) {
+                continue;
+            }
+            self.evicted.insert(r.machine.clone(), now);
+            let mut ours: Vec<(Micros, String, u32)> = Vec::new();
+            for (id, idx) in self.by_machine.get(&r.machine).into_iter().flatten() {
+                let Some(j) = self.jobs.get(id) else { continue };
+                let Some(p) = j.placed.get(idx) else { continue };
+                // A team within its guarantee keeps what it has.
+                if !matches!(p.want, Want::Stop(_))
+                    && j.spec.priority < r.priority
+                    && !teams.within_guarantee(&j.spec.team)
+                {
+                    ours.push((p.since, id.clone(), *idx));
+                }
+            }
+            ours.sort_by(|a, b| b.cmp(a));
+            for (_, id, idx) in ours {
+                if free.holds(r.need) {
+                    break;
+                }
+                let Some(j) = self.jobs.get_mut(&id) else { continue };
+                free = free + j.spec.room;
+                let grace = if j.spec.checkpoint.0 > 0 { j.spec.save } else { Micros(0) };
+                tracing::debug!(job = %id, task = idx, machine = %r.machine, priority = r.priority, "task makes room");
+                if j.spec.kind == Kind::Gang {
+                    self.stop_gang(&id, grace);
+                } else if let Some(p) = j.placed.get_mut(&idx) {
+                    p.want = Want::Stop(grace);
+                    self.dirty.fill(true);
+                }
+            }
+        }
+    }
+
     /// Places what can be placed, moves gangs on, and notes what finds no room.
-    pub fn plan(&mut self, now: Micros, m: &Membership, teams: &Teams) {
+    pub fn plan(&mut self, now: Micros, wall: Micros, m: &Membership, teams: &Teams) {
         if !self.loaded {
             return;
         }
@@ -709,8 +863,13 @@
         let mut places = self.places(now, m);
         let mut budget = STARTS_A_PASS;
         self.demands.clear();
+        self.reserved.clear();
+        self.shapes.retain(|(_, t)| now.since(*t) < Micros::from_millis(300_000));
         for id in self.order() {
+            let Some(spec) = self.jobs.get(&id).map(|j| j.spec.clone()) else { continue };
+            self.note_shape(now, &spec);
             let Some(j) = self.jobs.get(&id) else { continue };
+            let age = wall.since(j.accepted_wall);
             if !j.settled || now < j.not_before || j.done.len() == j.spec.tasks {
                 continue;
             }
@@ -738,6 +897,7 @@
             };
             let mut starts: Vec<(u32, usize)> = Vec::new();
             let mut unplaced = 0u32;
+            let mut keeps = Vec::new();
             if j.spec.kind == Kind::Gang {
                 if j.gang.is_some() || !j.placed.is_empty() || !still_there.is_empty() {
                     continue;
@@ -755,7 +915,16 @@
                     }
                     None => {
                         unplaced = j.spec.tasks;
-                        keep_places(&mut places, &j.spec);
+                        let evict = age >= self.patience(&j.spec);
+                        keeps = keep_places(&mut places, &j.spec, &j.keeps);
+                        for name in &keeps {
+                            self.reserved.push(Reservation {
+                                machine: name.clone(),
+                                priority: j.spec.priority,
+                                need: one,
+                                evict,
+                            });
+                        }
                     }
                 }
             } else {
@@ -792,12 +961,11 @@
                     count: unplaced,
                     estimate: s.estimate,
                     priority: s.priority,
+                    horizon: self.horizon(j, teams.guaranteed(&s.team), age),
                 });
             }
-            if starts.is_empty() {
-                continue;
-            }
             let Some(j) = self.jobs.get_mut(&id) else { continue };
+            j.keeps = keeps;
             let gang = j.spec.kind == Kind::Gang;
             if gang {
                 j.gang = Some(Gang::Holding(now));
@@ -829,6 +997,13 @@
         }
     }
 
+    /// Stops what has to make room; called after placing.
+    pub fn make_room(&mut self, now: Micros, m: &Membership, teams: &Teams) {
+        if self.loaded {
+            self.evict(now, m, teams);
+        }
+    }
+
     fn move_gangs(&mut self, now: Micros) {
         let mut end = Vec::new();
         for (id, j) in &mut self.jobs {
@@ -883,8 +1058,8 @@
     }
 
     /// What finds no room, for the decider.
-    pub fn demands(&self) -> &[Demand] {
-        &self.demands
+    pub fn demands(&self) -> Vec<Demand> {
+        self.demands.iter().chain(self.shapes.iter().map(|(d, _)| d)).cloned().collect()
     }
 
     /// The next change of a job's record that is due: ends first, then progress.
@@ -981,24 +1156,38 @@
     }
 }
 
-/// Keeps the roomiest machines that a waiting gang could use from less urgent work, so that the
-/// room its tasks need can come together.
-fn keep_places(places: &mut [Place], s: &Spec) {
+/// Keeps machines that a waiting gang could use from less urgent work, so that the room its tasks
+/// need can come together: those kept already, if they will do, else those where the least has to
+/// go. Nothing is kept if the gang would not fit even then. Returns which.
+fn keep_places(places: &mut [Place], s: &Spec, before: &[String]) -> Vec<String> {
     let mut zones: BTreeMap<String, Vec<usize>> = BTreeMap::new();
-    for (i, p) in places.iter().enumerate().filter(|(_, p)| p.allowed(s) && p.kept_for.is_none()) {
+    let usable = |p: &Place| {
+        p.allowed(s) && p.kept_for.is_none_or(|k| k <= s.priority) && p.free_for(s.priority).holds(s.room)
+    };
+    for (i, p) in places.iter().enumerate().filter(|(_, p)| usable(p)) {
         let zone = if s.one_zone { p.zone.clone() } else { String::new() };
         zones.entry(zone).or_default().push(i);
     }
     let best = zones
         .into_values()
+        .filter(|at| at.len() >= s.tasks as usize)
         .map(|mut at| {
-            at.sort_by_key(|&i| std::cmp::Reverse(places[i].free.cpus));
+            at.sort_by_key(|&i| {
+                (!before.contains(&places[i].name), std::cmp::Reverse(places[i].free.cpus.min(s.room.cpus)))
+            });
             at.truncate(s.tasks as usize);
-            let free: i64 = at.iter().map(|&i| places[i].free.cpus).sum();
-            (free, at)
+            let kept = at.iter().filter(|&&i| before.contains(&places[i].name)).count();
+            let free: i64 = at.iter().map(|&i| places[i].free.cpus.min(s.room.cpus)).sum();
+            (kept, free, at)
         })
-        .max_by_key(|(free, at)| (at.len(), *free));
-    for i in best.into_iter().flat_map(|(_, at)| at) {
-        places[i].kept_for = Some(s.priority);
+        .max_by_key(|(kept, free, _)| (*kept, *free));
+    let Some((_, _, at)) = best else { return Vec::new() };
+    let mut names = Vec::new();
+    for i in at {
+        places[i].kept_for = places[i].kept_for.max(Some(s.priority));
+        // A second gang must not count on the same room.
+        places[i].free = places[i].free - s.room;
+        names.push(places[i].name.clone());
     }
+    names
 }
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -136,6 +136,7 @@
 struct Entry {
     /// None until the owner has said what the task takes.
     room: Option<Room>,
+    priority: u8,
     phase: Phase,
     want: Option<Want>,
     /// The report that the start was answered to.
@@ -292,6 +293,7 @@
             };
             let e = x.entries.entry(key.clone()).or_insert_with(|| Entry {
                 room: None,
+                priority: 0,
                 phase,
                 want: None,
                 sent_to: (0, 0),
@@ -368,6 +370,7 @@
             let Some(x) = self.machines.get_mut(&w.machine) else { continue };
             if let Some(e) = x.entries.get_mut(&w.key) {
                 e.room = Some(w.room);
+                e.priority = w.priority;
                 if e.phase == Phase::Held && w.want == Want::Run {
                     e.phase = Phase::Queued;
                 }
@@ -393,7 +396,13 @@
             let fits = x.free(total).is_some_and(|f| f.holds(w.room));
             if x.open(now) && fits && !twin {
                 let phase = if w.want == Want::Run { Phase::Queued } else { Phase::Held };
-                let entry = Entry { room: Some(w.room), phase, want: Some(w.want), sent_to: (0, 0) };
+                let entry = Entry {
+                    room: Some(w.room),
+                    priority: w.priority,
+                    phase,
+                    want: Some(w.want),
+                    sent_to: (0, 0),
+                };
                 x.entries.insert(w.key.clone(), entry);
             } else {
                 tracing::debug!(machine = %w.machine, job = %w.key.job, task = w.key.index, fits, twin, "start refused");
@@ -513,6 +522,7 @@
                 notice: x.notice_at.map(|t| t.since(now)),
                 free: free.unwrap_or_default(),
                 total,
+                by_priority: x.by_priority(),
                 busy: x.entries.values().filter(|e| e.alive()).count() as u32,
                 idle: if x.entries.is_empty() { now.since(x.idle_since) } else { Micros(0) },
                 silent: now.since(x.heard_at),
@@ -560,6 +570,15 @@
         }
         Some(free)
     }
+    /// Room taken by tasks of each priority that are not being stopped.
+    fn by_priority(&self) -> Vec<(u8, Room)> {
+        let mut sums: BTreeMap<u8, Room> = BTreeMap::new();
+        for e in self.entries.values().filter(|e| e.alive() && !matches!(e.want, Some(Want::Stop(_)))) {
+            let sum = sums.entry(e.priority).or_default();
+            *sum = *sum + e.room.unwrap_or_default();
+        }
+        sums.into_iter().collect()
+    }
     /// Whether it takes new tasks. One that missed two reports may be dead.
     fn open(&self, now: Micros) -> bool {
         !self.draining
--- a/src/node.rs
+++ b/src/node.rs
@@ -243,7 +243,8 @@
             {
                 self.next_plan = now + Micros::from_millis(100);
                 self.owner.replan = false;
-                self.owner.plan(now, &self.membership, &self.teams);
+                self.owner.plan(now, self.wall, &self.membership, &self.teams);
+                self.owner.make_room(now, &self.membership, &self.teams);
             }
             self.team_loop(now, out);
             self.record_loop(now, out);
@@ -1009,7 +1010,11 @@
                 self.owner.digest(now, &self.membership, from, seq, rev_seen, machines);
             }
             Message::Demands(d) if same => self.fleet.demand(now, from, d),
-            Message::Fleet { drain, gone } if same && self.membership.decider() == Some(from) => {
+            Message::Reserve(list) if same && from != self.settings.me => {
+                self.owner.others_reserve(now, from, list);
+            }
+            Message::Fleet { drain, gone, kept } if same && self.membership.decider() == Some(from) => {
+                self.owner.keep_types(kept);
                 self.home.fleet(&drain.into_iter().collect(), &gone);
             }
             Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
@@ -1063,10 +1068,14 @@
                 if p == self.settings.me { own.push(f) } else { out.push(Effect::Send(p, f)) }
             }
         }
-        if now.since(self.sent_demands) >= Micros(period.0 * 2) {
+        if now.since(self.sent_demands) >= period {
             self.sent_demands = now;
+            for p in (0..n).filter(|&p| p != self.settings.me) {
+                let list = self.owner.reserved().to_vec();
+                out.push(Effect::Send(p, self.envelope(now, p, Message::Reserve(list))));
+            }
             if let Some(d) = self.membership.decider() {
-                let f = self.envelope(now, d, Message::Demands(self.owner.demands().to_vec()));
+                let f = self.envelope(now, d, Message::Demands(self.owner.demands()));
                 if d == self.settings.me {
                     own.push(f)
                 } else {
@@ -1075,7 +1084,9 @@
                 if d == self.settings.me {
                     for p in 0..n {
                         let drain = self.fleet.drain.iter().cloned().collect();
-                        let f = self.envelope(now, p, Message::Fleet { drain, gone: self.fleet.gone() });
+                        let kept = self.fleet.kept.clone();
+                        let gone = self.fleet.gone();
+                        let f = self.envelope(now, p, Message::Fleet { drain, gone, kept });
                         if p == self.settings.me { own.push(f) } else { out.push(Effect::Send(p, f)) }
                     }
                 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -54,6 +54,8 @@
     pub room: Room,
     /// What is wanted.
     pub want: Want,
+    /// Priority of the job, higher first.
+    pub priority: u8,
 }
 
 /// Where a start stands, as its home sees it.
@@ -139,6 +141,8 @@
     pub free: Room,
     /// All its room.
     pub total: Room,
+    /// Room taken by tasks of each priority that aren't being stopped.
+    pub by_priority: Vec<(u8, Room)>,
     /// How many tasks of any owner are on it or accepted for it.
     pub busy: u32,
     /// How long it has been without a task.
@@ -168,6 +172,21 @@
     pub estimate: Micros,
     /// Priority, higher first.
     pub priority: u8,
+    /// How long this work may queue before a machine is worth renting for it.
+    pub horizon: Micros,
+}
+
+/// A machine that an owner wants for waiting work: others place nothing of lower priority there.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Reservation {
+    /// The machine.
+    pub machine: String,
+    /// Priority of the work.
+    pub priority: u8,
+    /// Room it needs there.
+    pub need: Room,
+    /// Whether tasks of lower priority are to be stopped for it.
+    pub evict: bool,
 }
 
 /// The body of a frame.
@@ -189,14 +208,18 @@
         /// The machines.
         machines: Vec<MachineDigest>,
     },
-    /// Owner to decider: what can't be placed.
+    /// Owner to decider: what can't be placed, and shapes of jobs seen of late (count 0).
     Demands(Vec<Demand>),
+    /// Owner to owners: machines kept for its waiting work.
+    Reserve(Vec<Reservation>),
     /// Decider to home: machines to take no new tasks for, and machines the cloud has taken.
     Fleet {
         /// Machines about to be returned.
         drain: Vec<String>,
         /// Machines whose return the cloud has confirmed.
         gone: Vec<String>,
+        /// Types (and whether spot) left to work of at least a priority, which fits nowhere else.
+        kept: Vec<(String, bool, u8)>,
     },
     /// A user's request passed to the owner.
     Ask {
@@ -419,6 +442,7 @@
                     notice: None,
                     free: Room::need(1.0, 0.0, 2.0),
                     total: Room::need(2.0, 0.0, 4.0),
+                    by_priority: vec![(1, Room::need(1.0, 0.0, 2.0))],
                     busy: 1,
                     idle: Micros(0),
                     silent: Micros(1),
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -19,6 +19,8 @@
     pub free: Room,
     /// All its room.
     pub total: Room,
+    /// Room taken by tasks of each priority.
+    pub by_priority: Vec<(u8, Room)>,
     /// Kept for waiting work of at least this priority.
     pub kept_for: Option<u8>,
 }
@@ -31,6 +33,10 @@
             && s.zone.as_ref().is_none_or(|z| *z == self.zone)
             && self.total.holds(s.room)
     }
+    /// Room there would be without tasks of lower priority than this.
+    pub fn free_for(&self, priority: u8) -> Room {
+        self.by_priority.iter().filter(|(p, _)| *p < priority).fold(self.free, |a, (_, r)| a + *r)
+    }
 }
 
 /// How many of the job's tasks stand in each zone, old attempts that are not yet gone included.
@@ -118,6 +124,7 @@
                     spot: rng.random_bool(0.2),
                     free: Room::need(rng.random_range(0..9) as f64, 0.0, 9.0),
                     total: Room::need(8.0, 0.0, 9.0),
+                    by_priority: Vec::new(),
                     kept_for: None,
                 })
                 .collect();
@@ -146,6 +153,7 @@
             spot: false,
             free: Room::need(cpus, 0.0, 9.0),
             total: Room::need(16.0, 0.0, 9.0),
+            by_priority: Vec::new(),
             kept_for: None,
         };
         let places = [place("wide", 9.0), place("snug", 2.5), place("small", 1.0)];
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -68,6 +68,8 @@
 struct Inner {
     #[serde(default)]
     teams: Vec<TeamSettings>,
+    #[serde(default)]
+    objectives: Vec<Objective>,
     workers: Workers,
     state: State,
     cloud: Cloud,
@@ -92,6 +94,20 @@
     pub gpus_max: f64,
 }
 
+/// What is expected for a class of jobs.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Objective {
+    /// `wait`, `finished`, `deadline`, `guarantee` or others.
+    #[serde(default)]
+    pub kind: String,
+    /// The class.
+    #[serde(default)]
+    pub class: String,
+    /// Within how many seconds.
+    #[serde(default)]
+    pub within_s: f64,
+}
+
 #[derive(Deserialize, Clone, Debug)]
 struct Workers {
     report_s: f64,
@@ -138,6 +154,8 @@
     pub state: SocketAddrV4,
     /// The teams.
     pub teams: Vec<TeamSettings>,
+    /// What is expected of each class.
+    pub objectives: Vec<Objective>,
     /// Interval of workers' reports.
     pub report: Micros,
     /// How long a worker lives without an answer.
@@ -248,6 +266,7 @@
             cloud: f.outside.cloud,
             state: f.outside.state,
             teams: f.settings.teams.clone(),
+            objectives: f.settings.objectives.clone(),
             report: Micros::from_secs(i.workers.report_s),
             worker_lease: lease,
             gang_wait: Micros::from_secs(i.workers.gang_wait_s),
