--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -355,6 +355,7 @@
                     room: j.spec.room,
                     want: p.want,
                     priority: j.spec.priority,
+                    image: j.spec.image_hash,
                 });
             }
         }
@@ -369,6 +370,7 @@
                 room: l.room,
                 want: l.want,
                 priority: l.priority,
+                image: 0,
             });
         }
         (rev, out)
@@ -770,6 +772,7 @@
                     free,
                     total: d.total,
                     by_priority: d.by_priority.clone(),
+                    images: d.images.clone(),
                     kept_for: self
                         .kept_types
                         .iter()
@@ -917,7 +920,9 @@
                         unplaced = j.spec.tasks;
                         let evict = age >= self.patience(&j.spec);
                         keeps = keep_places(&mut places, &j.spec, &j.keeps);
-                        for name in &keeps {
+                        // Others are asked to keep away only when it has waited for a while:
+                        // what is kept empty serves nobody.
+                        for name in keeps.iter().filter(|_| evict) {
                             self.reserved.push(Reservation {
                                 machine: name.clone(),
                                 priority: j.spec.priority,
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -129,6 +129,8 @@
 
 /// Most starts in one answer, so that no line of it nears 64 KiB.
 const STARTS_AN_ANSWER: usize = 200;
+/// Images remembered a machine.
+const IMAGES: usize = 12;
 /// Most commands in one answer.
 const COMMANDS_AN_ANSWER: usize = 500;
 
@@ -137,6 +139,7 @@
     /// None until the owner has said what the task takes.
     room: Option<Room>,
     priority: u8,
+    image: u64,
     phase: Phase,
     want: Option<Want>,
     /// The report that the start was answered to.
@@ -176,6 +179,8 @@
     entries: BTreeMap<TaskKey, Entry>,
     draining: bool,
     idle_since: Micros,
+    /// Images that tasks have run from, the latest last.
+    images: Vec<u64>,
 }
 
 /// What the store keeps of a machine.
@@ -294,6 +299,7 @@
             let e = x.entries.entry(key.clone()).or_insert_with(|| Entry {
                 room: None,
                 priority: 0,
+                image: 0,
                 phase,
                 want: None,
                 sent_to: (0, 0),
@@ -325,6 +331,19 @@
                 _ => {}
             }
         }
+        let present: BTreeSet<u64> = x
+            .entries
+            .values()
+            .filter(|e| e.image != 0 && matches!(e.phase, Phase::Running | Phase::Waiting | Phase::Saving))
+            .map(|e| e.image)
+            .collect();
+        for image in present {
+            x.images.retain(|i| *i != image);
+            x.images.push(image);
+        }
+        if x.images.len() > IMAGES {
+            x.images.remove(0);
+        }
         commands.truncate(COMMANDS_AN_ANSWER);
         if x.standing == Standing::Known && x.record == Record::Yes {
             let mut room = STARTS_AN_ANSWER;
@@ -371,6 +390,7 @@
             if let Some(e) = x.entries.get_mut(&w.key) {
                 e.room = Some(w.room);
                 e.priority = w.priority;
+                e.image = w.image;
                 if e.phase == Phase::Held && w.want == Want::Run {
                     e.phase = Phase::Queued;
                 }
@@ -399,6 +419,7 @@
                 let entry = Entry {
                     room: Some(w.room),
                     priority: w.priority,
+                    image: w.image,
                     phase,
                     want: Some(w.want),
                     sent_to: (0, 0),
@@ -523,6 +544,7 @@
                 free: free.unwrap_or_default(),
                 total,
                 by_priority: x.by_priority(),
+                images: x.images.clone(),
                 busy: x.entries.values().filter(|e| e.alive()).count() as u32,
                 idle: if x.entries.is_empty() { now.since(x.idle_since) } else { Micros(0) },
                 silent: now.since(x.heard_at),
@@ -560,6 +582,7 @@
             entries: BTreeMap::new(),
             draining: false,
             idle_since: now,
+            images: Vec::new(),
         }
     }
     /// Free room; None while some task's needs are unknown.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -56,6 +56,8 @@
     pub want: Want,
     /// Priority of the job, higher first.
     pub priority: u8,
+    /// Hash of the image's name.
+    pub image: u64,
 }
 
 /// Where a start stands, as its home sees it.
@@ -143,6 +145,8 @@
     pub total: Room,
     /// Room taken by tasks of each priority that aren't being stopped.
     pub by_priority: Vec<(u8, Room)>,
+    /// Images that it is likely to have, by the hashes of their names.
+    pub images: Vec<u64>,
     /// How many tasks of any owner are on it or accepted for it.
     pub busy: u32,
     /// How long it has been without a task.
@@ -443,6 +447,7 @@
                     free: Room::need(1.0, 0.0, 2.0),
                     total: Room::need(2.0, 0.0, 4.0),
                     by_priority: vec![(1, Room::need(1.0, 0.0, 2.0))],
+                    images: vec![7],
                     busy: 1,
                     idle: Micros(0),
                     silent: Micros(1),
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -19,6 +19,8 @@
     pub free: Room,
     /// All its room.
     pub total: Room,
+    /// Images that it is likely to have.
+    pub images: Vec<u64>,
     /// Room taken by tasks of each priority.
     pub by_priority: Vec<(u8, Room)>,
     /// Kept for waiting work of at least this priority.
@@ -64,7 +66,8 @@
         })
         .min_by_key(|(_, p)| {
             let left = p.free - s.room;
-            (left.gpus, left.cpus, left.memory)
+            // Among equally full ones, the one that need not fetch the image.
+            (left.gpus, left.cpus, !p.images.contains(&s.image_hash), left.memory)
         })
         .map(|(i, _)| i)
 }
@@ -125,6 +128,7 @@
                     free: Room::need(rng.random_range(0..9) as f64, 0.0, 9.0),
                     total: Room::need(8.0, 0.0, 9.0),
                     by_priority: Vec::new(),
+                    images: Vec::new(),
                     kept_for: None,
                 })
                 .collect();
@@ -154,6 +158,7 @@
             free: Room::need(cpus, 0.0, 9.0),
             total: Room::need(16.0, 0.0, 9.0),
             by_priority: Vec::new(),
+            images: Vec::new(),
             kept_for: None,
         };
         let places = [place("wide", 9.0), place("snug", 2.5), place("small", 1.0)];
--- a/src/spec.rs
+++ b/src/spec.rs
@@ -51,6 +51,8 @@
     pub spot: bool,
     /// The image.
     pub image: String,
+    /// Hash of its name.
+    pub image_hash: u64,
     /// The owner's guess of a task's run time.
     pub estimate: Micros,
     /// Interval of checkpoints; zero: never saves.
@@ -210,6 +212,7 @@
             one_zone: f.flag("together")?,
             spread: f.flag("scatter")?,
             spot: f.flag("borrowed")?,
+            image_hash: twox_hash::XxHash64::oneshot(1, f.text("tack")?.as_bytes()),
             image: f.text("tack")?,
             estimate: Micros::from_secs(f.amount("rideS")?),
             checkpoint: Micros::from_secs(f.amount("restS")?),
