--- /dev/null
+++ b/tests/world.rs
@@ -0,0 +1,914 @@
+//! A simulated world (store, cloud, workers, users, a network that loses, delays and holds back)
+//! that drives the controllers' own code with seeded troubles and checks the rules after each step.
+
+use hazelsaddle::fleet::{CloudAnswer, CloudRequest, Listed};
+use hazelsaddle::machines::{Report, ReportedTask};
+use hazelsaddle::node::{Effect, Event, Node};
+use hazelsaddle::peer::{Reply, UserRequest};
+use hazelsaddle::settings::Settings;
+use hazelsaddle::spec::{MachineType, Spec};
+use hazelsaddle::store::{Commit, Row, StoreAnswer, StoreRequest};
+use hazelsaddle::units::Micros;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+
+const LEASE_S: f64 = 18.0;
+const CANCEL_S: f64 = 43.0;
+const ZONES: [&str; 2] = ["a", "b"];
+
+fn settings(me: usize) -> Settings {
+    let seed = |i: usize| {
+        format!("[[seeds]]\nmember = \"c{i}\"\nlocation = \"a\"\naddr = \"10.0.0.{}:8081\"\n", i + 1)
+    };
+    let seeds: String = (0..3).filter(|&i| i != me).map(seed).collect();
+    let text = format!(
+        "member = \"c{me}\"\nlocation = \"a\"\napi_addr = \"10.0.0.{}:8080\"\nback = \"10.0.0.{}:8081\"\n{seeds}
+        [outside]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[settings]\n
+        [[settings.teams]]\nname = \"t0\"\ncpus = 8.0\ncpus_max = 24.0\n
+        [[settings.teams]]\nname = \"t1\"\n
+        [settings.workers]\nreport_s = 3.0\nlease_s = {LEASE_S}\ngang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = {CANCEL_S}\n
+        [settings.state]\nrps = 120.0\nwrite_rps = 15.0\nvalue_kb = 4.0\ntxn_ops = 8\n
+        [settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n",
+        me + 1,
+        me + 1
+    );
+    Settings::parse("test", &text).expect("the settings are valid")
+}
+
+fn types() -> Vec<MachineType> {
+    let t = |name: &str, cpus: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        price: cpus,
+        spot_price: cpus / 2.0,
+        boot_s: 10.0,
+        zones: ZONES.iter().map(|z| z.to_string()).collect(),
+    };
+    vec![t("small", 4.0), t("large", 8.0)]
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    job: String,
+    index: u32,
+    attempt: u64,
+    state: &'static str,
+    why: Option<&'static str>,
+    saved: bool,
+    until: u64,
+}
+
+impl Task {
+    /// Whether it counts as being on its machine.
+    fn on(&self) -> bool {
+        matches!(self.state, "waiting" | "running" | "flushing")
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Worker {
+    name: String,
+    kind: String,
+    zone: String,
+    spot: bool,
+    up_at: u64,
+    hung_until: u64,
+    gone: bool,
+    dead: bool,
+    target: usize,
+    session: u64,
+    seq: u64,
+    token: u64,
+    /// When the last answered report was sent.
+    lease_from: u64,
+    /// Report in flight: its number and when it was sent.
+    flight: Option<(u64, u64)>,
+    next: u64,
+    changed: bool,
+    tasks: Vec<Task>,
+}
+
+#[derive(Debug)]
+enum What {
+    Node(usize, u64, Event),
+    StoreApply(usize, u64, u64, StoreRequest, bool),
+    Cloud(usize, u64, CloudRequest),
+    WorkerAnswer(usize, u64, Reply),
+    UserAnswer(u64, Reply),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Known {
+    Nothing,
+    Accepted,
+    Done,
+    Cancelled,
+}
+
+struct UserJob {
+    body: String,
+    spec: Spec,
+    run: u64,
+    known: Known,
+    cancel_asked: bool,
+    cancelled_at: Option<u64>,
+    done: BTreeSet<u32>,
+    next: u64,
+    submitted: bool,
+}
+
+enum Ticket {
+    Worker(usize, u64),
+    User(String, char),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum End {
+    Node(usize),
+    Store,
+    Workers,
+}
+
+struct World {
+    rng: StdRng,
+    now: u64,
+    serial: u64,
+    queue: BTreeMap<(u64, u64), What>,
+    nodes: Vec<Option<Node>>,
+    boots: Vec<u64>,
+    started: Vec<u64>,
+    back_at: Vec<u64>,
+    drift: Vec<f64>,
+    hung: Vec<u64>,
+    store: BTreeMap<String, (Value, u64, Option<u64>)>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    revision: u64,
+    outage_until: u64,
+    cuts: Vec<(End, End, u64, bool)>,
+    workers: Vec<Worker>,
+    rentals: BTreeMap<String, Vec<String>>,
+    tickets: BTreeMap<u64, Ticket>,
+    jobs: BTreeMap<String, UserJob>,
+    starts: usize,
+    log: Vec<String>,
+}
+
+const S: u64 = 1_000_000;
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let drift = (0..3).map(|_| 1.0 + rng.random_range(-0.0005..0.0005)).collect();
+        let mut w = World {
+            rng,
+            now: S,
+            serial: 0,
+            queue: BTreeMap::new(),
+            nodes: vec![None, None, None],
+            boots: vec![0; 3],
+            started: vec![0; 3],
+            back_at: vec![0; 3],
+            drift,
+            hung: vec![0; 3],
+            store: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            revision: 0,
+            outage_until: 0,
+            cuts: Vec::new(),
+            workers: Vec::new(),
+            rentals: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            starts: 0,
+            log: Vec::new(),
+        };
+        for i in 0..4 {
+            w.add_worker("large", ZONES[i % 2], false, 0);
+        }
+        w
+    }
+
+    fn add_worker(&mut self, kind: &str, zone: &str, spot: bool, boot: u64) -> String {
+        let name = format!("i-{:06}", self.workers.len());
+        let up_at = self.now + boot;
+        self.workers.push(Worker {
+            name: name.clone(),
+            kind: kind.into(),
+            zone: zone.into(),
+            spot,
+            up_at,
+            hung_until: 0,
+            gone: false,
+            dead: false,
+            target: self.rng.random_range(0..3),
+            session: 1,
+            seq: 0,
+            token: 0,
+            lease_from: up_at,
+            flight: None,
+            next: up_at,
+            changed: false,
+            tasks: Vec::new(),
+        });
+        name
+    }
+
+    fn later(&mut self, delay: u64, what: What) {
+        self.serial += 1;
+        self.queue.insert((self.now + delay.max(1), self.serial), what);
+    }
+
+    /// When a message between two ends arrives: after a short delay, held back by a cut, or never.
+    fn travel(&mut self, a: End, b: End) -> Option<u64> {
+        let delay = self.rng.random_range(500..4000) + if self.rng.random_bool(0.01) { 300_000 } else { 0 };
+        let hit = |x: End, y: End| (x == a && y == b) || (x == b && y == a);
+        let cut = self.cuts.iter().find(|&&(x, y, until, _)| hit(x, y) && self.now < until).copied();
+        match cut {
+            None => Some(delay),
+            Some((_, _, until, true)) => Some(until - self.now + delay),
+            Some(_) => None,
+        }
+    }
+
+    fn clock(&self, n: usize) -> Micros {
+        Micros(S + ((self.now - self.started[n]) as f64 * self.drift[n]) as u64)
+    }
+
+    fn drive(&mut self, n: usize, event: Event) {
+        if self.now < self.hung[n] {
+            // A controller that doesn't get to run takes what arrived when it goes on.
+            let delay = self.hung[n] - self.now;
+            let boot = self.boots[n];
+            return self.later(delay, What::Node(n, boot, event));
+        }
+        let (now, wall) = (self.clock(n), Micros(self.now + 100_000 * n as u64));
+        let Some(node) = self.nodes[n].as_mut() else { return };
+        let mut out = Vec::new();
+        node.step(now, wall, event, &mut out);
+        node.reconcile(now, wall, &mut out);
+        for e in out {
+            self.effect(n, e);
+        }
+    }
+
+    fn effect(&mut self, n: usize, e: Effect) {
+        let boot = self.boots[n];
+        match e {
+            Effect::Reply(t, reply) => match self.tickets.remove(&t) {
+                Some(Ticket::Worker(w, seq)) => {
+                    if let Some(d) = self.travel(End::Node(n), End::Workers) {
+                        self.later(d, What::WorkerAnswer(w, seq, reply));
+                    }
+                }
+                Some(ticket @ Ticket::User(..)) => {
+                    self.tickets.insert(t, ticket);
+                    self.later(1000, What::UserAnswer(t, reply));
+                }
+                None => {}
+            },
+            Effect::Send(p, frame) => {
+                let bytes = frame.encode().expect("frames can be encoded");
+                let back = hazelsaddle::peer::Frame::decode(&bytes[4..]).expect("and read again");
+                if let Some(d) = self.travel(End::Node(n), End::Node(p)) {
+                    self.later(d, What::Node(p, 0, Event::Frame(Box::new(back))));
+                }
+            }
+            Effect::Store(id, r, _) => match self.travel(End::Node(n), End::Store) {
+                // What takes longer than the client waits is answered as unknown, and applied late.
+                Some(d) if d < 2 * S => self.later(d, What::StoreApply(n, boot, id, r, true)),
+                other => {
+                    if let Some(d) = other {
+                        self.later(d, What::StoreApply(n, boot, id, r, false));
+                    }
+                    self.later(2 * S, What::Node(n, boot, Event::Store(id, StoreAnswer::Unknown)));
+                }
+            },
+            Effect::Cloud(r) => self.later(80_000, What::Cloud(n, boot, r)),
+        }
+    }
+
+    fn store_apply(&mut self, r: StoreRequest) -> StoreAnswer {
+        if self.now < self.outage_until {
+            return StoreAnswer::Refused;
+        }
+        let ended: Vec<u64> = self.leases.iter().filter(|(_, l)| l.1 <= self.now).map(|(i, _)| *i).collect();
+        for id in ended {
+            self.leases.remove(&id);
+            self.store.retain(|_, v| v.2 != Some(id));
+            self.revision += 1;
+        }
+        let row =
+            |k: &String, v: &(Value, u64, Option<u64>)| Row { key: k.clone(), value: v.0.clone(), mark: v.1 };
+        match r {
+            StoreRequest::Get(k) => StoreAnswer::Got(self.store.get(&k).map(|v| row(&k, v))),
+            StoreRequest::List(prefix, after) => {
+                let mut rows: Vec<Row> = self
+                    .store
+                    .range(prefix.clone()..)
+                    .take_while(|(k, _)| k.starts_with(&prefix))
+                    .filter(|(k, _)| **k > after)
+                    .take(4)
+                    .map(|(k, v)| row(k, v))
+                    .collect();
+                let more = rows.len() == 4;
+                if more {
+                    rows.pop();
+                }
+                StoreAnswer::Page(rows, more)
+            }
+            StoreRequest::Commit(Commit { conditions, puts, drops }) => {
+                let failed: Vec<String> = conditions
+                    .into_iter()
+                    .filter(|(k, m)| self.store.get(k).map_or(0, |v| v.1) != *m)
+                    .map(|(k, _)| k)
+                    .collect();
+                if puts.iter().any(|(_, _, l)| l.is_some_and(|l| !self.leases.contains_key(&l))) {
+                    return StoreAnswer::NoLease;
+                }
+                if !failed.is_empty() {
+                    return StoreAnswer::Conflict(failed);
+                }
+                assert!(puts.len() + drops.len() <= 8, "a transaction is too large");
+                self.revision += 1;
+                for (k, v, l) in puts {
+                    assert!(v.to_string().len() <= 4096, "a value is too long");
+                    self.store.insert(k, (v, self.revision, l));
+                }
+                for k in drops {
+                    self.store.remove(&k);
+                }
+                StoreAnswer::Committed(self.revision)
+            }
+            StoreRequest::Grant(ms) => {
+                self.serial += 1;
+                self.leases.insert(self.serial, (ms * 1000, self.now + ms * 1000));
+                StoreAnswer::Granted(self.serial)
+            }
+            StoreRequest::Renew(id) => match self.leases.get_mut(&id) {
+                Some(l) => {
+                    l.1 = self.now + l.0;
+                    StoreAnswer::Renewed
+                }
+                None => StoreAnswer::NoLease,
+            },
+        }
+    }
+
+    fn cloud(&mut self, r: &CloudRequest) -> CloudAnswer {
+        match r {
+            CloudRequest::Types => CloudAnswer::Types(types()),
+            CloudRequest::List(after) => {
+                let listed = |w: &Worker| Listed {
+                    name: w.name.clone(),
+                    kind: w.kind.clone(),
+                    zone: w.zone.clone(),
+                    spot: w.spot,
+                    state: if w.dead {
+                        "failed"
+                    } else if w.up_at > self.now {
+                        "booting"
+                    } else {
+                        "running"
+                    }
+                    .into(),
+                    age_s: self.now.saturating_sub(w.up_at) as f64 / 1e6,
+                };
+                let old = |w: &&Worker| !w.gone && w.name > *after && w.up_at < self.now + 5 * S;
+                CloudAnswer::Page(self.workers.iter().filter(old).map(listed).collect(), false)
+            }
+            CloudRequest::Rent(r) => {
+                if let Some(names) = self.rentals.get(&r.name) {
+                    return CloudAnswer::Rented(names.clone());
+                }
+                let here = self.workers.iter().filter(|w| !w.gone && w.zone == r.zone).count();
+                let n = (r.count as usize).min(6usize.saturating_sub(here));
+                if n == 0 {
+                    return CloudAnswer::NoCapacity;
+                }
+                let names: Vec<String> = (0..n)
+                    .map(|_| {
+                        let boot = self.rng.random_range(3 * S..20 * S);
+                        self.add_worker(&r.kind, &r.zone, r.spot, boot)
+                    })
+                    .collect();
+                self.rentals.insert(r.name.clone(), names.clone());
+                CloudAnswer::Rented(names)
+            }
+            CloudRequest::Return(names) => {
+                for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
+                    w.gone = true;
+                    w.tasks.clear();
+                }
+                CloudAnswer::Returned
+            }
+        }
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Node(n, boot, e) => {
+                if boot == 0 || boot == self.boots[n] {
+                    self.drive(n, e);
+                }
+            }
+            What::StoreApply(n, boot, id, r, answered) => {
+                let a = self.store_apply(r);
+                if answered {
+                    match self.travel(End::Store, End::Node(n)) {
+                        Some(d) if d < 2 * S => self.later(d, What::Node(n, boot, Event::Store(id, a))),
+                        _ => self.later(2 * S, What::Node(n, boot, Event::Store(id, StoreAnswer::Unknown))),
+                    }
+                }
+            }
+            What::Cloud(n, boot, r) => {
+                let a = self.cloud(&r);
+                self.later(80_000, What::Node(n, boot, Event::Cloud(r, a)));
+            }
+            What::WorkerAnswer(w, seq, reply) => self.worker_answer(w, seq, &reply),
+            What::UserAnswer(t, reply) => {
+                if let Some(Ticket::User(id, kind)) = self.tickets.remove(&t) {
+                    self.user_answer(&id, kind, &reply);
+                }
+            }
+        }
+    }
+
+    // ---- Workers ----
+
+    fn worker_answer(&mut self, i: usize, seq: u64, reply: &Reply) {
+        let w = &mut self.workers[i];
+        if w.gone || w.dead || self.now < w.hung_until {
+            return;
+        }
+        let Some((number, sent)) = w.flight else { return };
+        if number != seq || self.now > sent + 4 * S {
+            return;
+        }
+        w.flight = None;
+        let body: Value = serde_json::from_str(&reply.body).expect("answers are JSON");
+        match reply.status {
+            200 => {
+                let token = body["rein"].as_u64().expect("a token");
+                if token < w.token {
+                    return;
+                }
+                w.changed |= token > w.token;
+                w.token = token;
+                w.lease_from = sent;
+                let calls = body["calls"].as_array().expect("commands").clone();
+                for c in calls {
+                    self.command(i, &c);
+                }
+            }
+            421 => {
+                let to =
+                    body["rider"].as_str().and_then(|r| r.strip_prefix('c')).and_then(|n| n.parse().ok());
+                w.target = to.unwrap_or((w.target + 1) % 3);
+                w.next = self.now + 200_000;
+            }
+            _ => {
+                w.target = (w.target + 1) % 3;
+                w.next = self.now + S;
+            }
+        }
+    }
+
+    fn command(&mut self, i: usize, c: &Value) {
+        let (job, index) = c["stride"].as_str().and_then(|t| t.rsplit_once('/')).expect("a task");
+        let index: u32 = index.parse().expect("a number");
+        let attempt = c["mount"].as_u64().expect("an attempt");
+        let now = self.now;
+        let at = |t: &Task| t.job == job && t.index == index && t.attempt == attempt;
+        match c["call"].as_str().expect("a command") {
+            "run" => {
+                let w = &self.workers[i];
+                if w.tasks.iter().any(at) {
+                    return;
+                }
+                let spec = &self.jobs[job].spec;
+                let busy = w.tasks.iter().any(|t| t.job == job && t.index == index);
+                let used: i64 = w
+                    .tasks
+                    .iter()
+                    .filter(|t| t.state != "ended")
+                    .map(|t| self.jobs[&t.job].spec.room.cpus)
+                    .sum();
+                let cap = if w.kind == "large" { 8000 } else { 4000 };
+                let why = if busy {
+                    Some("busy")
+                } else if used + spec.room.cpus > cap {
+                    Some("no_room")
+                } else {
+                    None
+                };
+                let fetch = self.rng.random_range(S / 2..4 * S);
+                self.workers[i].tasks.push(Task {
+                    job: job.into(),
+                    index,
+                    attempt,
+                    state: if why.is_some() { "ended" } else { "pulling" },
+                    why,
+                    saved: false,
+                    until: now + fetch,
+                });
+                if why.is_none() {
+                    self.starts += 1;
+                }
+            }
+            "kill" => {
+                if let Some(t) = self.workers[i].tasks.iter_mut().find(|t| at(t) && t.state != "ended") {
+                    t.state = "ended";
+                    t.why = Some("stopped");
+                }
+            }
+            "forget" => self.workers[i].tasks.retain(|t| !(at(t) && t.state == "ended")),
+            other => panic!("unknown command {other}"),
+        }
+        self.workers[i].changed = true;
+    }
+
+    fn run_workers(&mut self) {
+        let now = self.now;
+        for i in 0..self.workers.len() {
+            let w = &mut self.workers[i];
+            if w.gone || w.dead || now < w.up_at || now < w.hung_until {
+                continue;
+            }
+            if now > w.lease_from + (LEASE_S * 1e6) as u64 {
+                w.tasks.clear();
+                w.session += 1;
+                w.lease_from = now;
+                w.flight = None;
+                w.changed = true;
+            }
+            for k in 0..self.workers[i].tasks.len() {
+                let t = self.workers[i].tasks[k].clone();
+                if now < t.until {
+                    continue;
+                }
+                let job = &self.jobs[&t.job];
+                let gang = job.spec.kind == hazelsaddle::spec::Kind::Gang;
+                let (state, until, why) = match t.state {
+                    "pulling" if job.done.contains(&t.index) => ("ended", 0, Some("done")),
+                    "pulling" if gang => ("waiting", now + 30 * S, None),
+                    "pulling" => ("running", now + job.run, None),
+                    "waiting" => ("ended", 0, Some("alone")),
+                    "running" => ("ended", 0, Some("done")),
+                    _ => continue,
+                };
+                if why == Some("done") {
+                    let all = job.spec.tasks;
+                    let j = self.jobs.get_mut(&t.job).expect("known");
+                    if gang {
+                        j.done.extend(0..all);
+                    } else {
+                        j.done.insert(t.index);
+                    }
+                }
+                let w = &mut self.workers[i];
+                w.tasks[k].state = state;
+                w.tasks[k].until = until;
+                w.tasks[k].why = why;
+                w.changed = true;
+            }
+            let w = &mut self.workers[i];
+            if w.flight.is_some_and(|(_, sent)| now > sent + 4 * S) {
+                w.flight = None;
+                w.target = (w.target + 1) % 3;
+                w.next = now + S;
+            }
+            if w.flight.is_none() && (now >= w.next || (w.changed && now + 2 * S >= w.next)) {
+                w.seq += 1;
+                w.changed = false;
+                w.flight = Some((w.seq, now));
+                w.next = now + 3 * S;
+                let tasks = w
+                    .tasks
+                    .iter()
+                    .map(|t| ReportedTask {
+                        task: format!("{}/{}", t.job, t.index),
+                        attempt: t.attempt,
+                        state: t.state.into(),
+                        why: t.why.map(str::to_owned),
+                        saved: Some(t.saved),
+                    })
+                    .collect();
+                let report = Report {
+                    machine: w.name.clone(),
+                    addr: String::new(),
+                    kind: w.kind.clone(),
+                    zone: w.zone.clone(),
+                    spot: w.spot,
+                    session: w.session,
+                    seq: w.seq,
+                    token: w.token,
+                    notice_s: None,
+                    tasks,
+                };
+                let (target, seq) = (w.target, w.seq);
+                self.serial += 1;
+                let ticket = self.serial;
+                self.tickets.insert(ticket, Ticket::Worker(i, seq));
+                if let Some(d) = self.travel(End::Workers, End::Node(target)) {
+                    self.later(d, What::Node(target, 0, Event::Report(ticket, report)));
+                }
+            }
+        }
+        self.run_gangs();
+    }
+
+    fn run_gangs(&mut self) {
+        let mut waiting: BTreeMap<(String, u64), BTreeSet<u32>> = BTreeMap::new();
+        let mut running: BTreeMap<(String, u64), BTreeSet<u32>> = BTreeMap::new();
+        for w in self.workers.iter().filter(|w| !w.gone && !w.dead && self.now >= w.hung_until) {
+            for t in &w.tasks {
+                let set = match t.state {
+                    "waiting" => &mut waiting,
+                    "running" => &mut running,
+                    _ => continue,
+                };
+                set.entry((t.job.clone(), t.attempt)).or_default().insert(t.index);
+            }
+        }
+        let now = self.now;
+        for w in self.workers.iter_mut().filter(|w| !w.gone && !w.dead && now >= w.hung_until) {
+            for t in &mut w.tasks {
+                let Some(j) = self.jobs.get(&t.job) else { continue };
+                if j.spec.kind != hazelsaddle::spec::Kind::Gang {
+                    continue;
+                }
+                let key = (t.job.clone(), t.attempt);
+                let all = j.spec.tasks as usize;
+                if t.state == "waiting" && waiting.get(&key).is_some_and(|s| s.len() == all) {
+                    t.state = "running";
+                    t.until = now + j.run;
+                    w.changed = true;
+                } else if t.state == "running"
+                    && running.get(&key).is_none_or(|s| s.len() < all)
+                    && waiting.get(&key).is_none()
+                    && j.done.is_empty()
+                {
+                    t.state = "ended";
+                    t.why = Some("peers");
+                    w.changed = true;
+                }
+            }
+        }
+    }
+
+    // ---- Users ----
+
+    fn add_job(&mut self, n: u32) {
+        let kind = ["batch", "batch", "group"][self.rng.random_range(0..3usize)];
+        let tasks = if kind == "group" { self.rng.random_range(1..4) } else { self.rng.random_range(1..12) };
+        let id = format!("wk-{:06}", n * 7919 % 1_000_000);
+        let team = ["t0", "t1"][self.rng.random_range(0..2usize)];
+        let rank = ["idle", "normal"][self.rng.random_range(0..2usize)];
+        let body = json!({"uid": id, "breed": "x", "herd": team, "gait": kind, "rank": rank, "strides": tasks,
+            "vcpus": self.rng.random_range(1..5) as f64, "cards": 0, "ramGb": 1.0, "tack": "img", "imageGb": 1.0,
+            "together": self.rng.random_bool(0.3), "scatter": false, "borrowed": self.rng.random_bool(0.5),
+            "rideS": 10.0, "restS": 0.0, "unsaddleS": 0.0, "dueS": null})
+        .to_string();
+        let spec = Spec::parse(&body).expect("a valid description");
+        let run = self.rng.random_range(3 * S..25 * S);
+        let job = UserJob {
+            body,
+            spec,
+            run,
+            known: Known::Nothing,
+            cancel_asked: self.rng.random_bool(0.15),
+            cancelled_at: None,
+            done: BTreeSet::new(),
+            next: self.now,
+            submitted: false,
+        };
+        self.jobs.insert(id, job);
+    }
+
+    fn run_users(&mut self) {
+        let due: Vec<String> =
+            self.jobs.iter().filter(|(_, j)| self.now >= j.next).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            let pause = self.rng.random_range(2 * S..6 * S);
+            let n = self.rng.random_range(0..3usize);
+            let cancel = self.rng.random_bool(0.3);
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            j.next = self.now + pause;
+            let (kind, request) = match j.known {
+                Known::Nothing => ('s', UserRequest::Submit(id.clone(), j.body.clone())),
+                Known::Accepted if j.cancel_asked && cancel => ('w', UserRequest::Withdraw(id.clone())),
+                // A repeated submission may come at any time, even after the end.
+                Known::Done | Known::Cancelled if cancel => {
+                    ('s', UserRequest::Submit(id.clone(), j.body.clone()))
+                }
+                _ => ('q', UserRequest::Query(id.clone())),
+            };
+            j.submitted |= kind == 's';
+            self.serial += 1;
+            let ticket = self.serial;
+            self.tickets.insert(ticket, Ticket::User(id, kind));
+            self.later(1000, What::Node(n, 0, Event::User(ticket, request)));
+        }
+        // A job that nobody has submitted must not be known to anyone.
+        if self.rng.random_bool(0.02) {
+            self.serial += 1;
+            let ticket = self.serial;
+            self.tickets.insert(ticket, Ticket::User("wk-999999".into(), 'q'));
+            let n = self.rng.random_range(0..3usize);
+            self.later(1000, What::Node(n, 0, Event::User(ticket, UserRequest::Query("wk-999999".into()))));
+        }
+    }
+
+    fn user_answer(&mut self, id: &str, kind: char, r: &Reply) {
+        assert!(r.status != 400 && r.status != 422 && r.status != 409, "{id}: {r:?}");
+        if r.status == 503 {
+            assert!(r.retry_after.is_some(), "a refusal says when to come back");
+            return;
+        }
+        let body: Value = serde_json::from_str(&r.body).expect("JSON");
+        let Some(j) = self.jobs.get_mut(id) else {
+            assert_ne!(r.status, 200, "invented: {body}");
+            return;
+        };
+        if r.status == 404 {
+            assert_eq!(j.known, Known::Nothing, "forgotten: {id} at {}", self.now);
+            return;
+        }
+        let stance = body["stance"].as_str().expect("a stance");
+        match stance {
+            "done" => {
+                assert_eq!(j.done.len(), j.spec.tasks as usize, "not_done: {id}");
+                assert_ne!(j.known, Known::Cancelled, "went_back: {id}");
+                j.known = Known::Done;
+            }
+            "aborted" => {
+                assert!(j.cancel_asked, "went_back: {id} cancelled by nobody");
+                assert_ne!(j.known, Known::Done, "went_back: {id}");
+                j.known = Known::Cancelled;
+                j.cancelled_at.get_or_insert(self.now);
+            }
+            _ => {
+                assert!(kind != 'w', "a withdrawal is answered with the end: {body}");
+                assert!(
+                    j.known == Known::Nothing || j.known == Known::Accepted,
+                    "went_back: {id} was {:?}, is {stance}",
+                    j.known
+                );
+                j.known = Known::Accepted;
+            }
+        }
+    }
+
+    // ---- Rules ----
+
+    fn check(&self) {
+        let mut on: BTreeMap<(&str, u32), &str> = BTreeMap::new();
+        let mut used: BTreeMap<&str, i64> = BTreeMap::new();
+        let mut zones: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        for w in self.workers.iter().filter(|w| !w.gone && !w.dead) {
+            // A machine whose lease ran out while it hung kills its tasks before anything else.
+            if self.now > w.lease_from + (LEASE_S * 1e6) as u64 {
+                continue;
+            }
+            for t in w.tasks.iter().filter(|t| t.on()) {
+                let j = &self.jobs[&t.job];
+                if let Some(other) = on.insert((&t.job, t.index), &w.name) {
+                    panic!("ran_twice: {}/{} on {other} and {} at {}", t.job, t.index, w.name, self.now);
+                }
+                *used.entry(&j.spec.team).or_default() += j.spec.room.cpus;
+                assert!(w.spot <= j.spec.spot, "wrong_place: {} on a spot machine", t.job);
+                zones.entry(&t.job).or_default().insert(&w.zone);
+                if let Some(at) = j.cancelled_at {
+                    assert!(self.now <= at + (CANCEL_S * 1e6) as u64, "ran_cancelled: {}", t.job);
+                }
+            }
+        }
+        assert!(used.get("t0").copied().unwrap_or(0) <= 24_000, "quota: {used:?} at {}", self.now);
+        for (job, z) in zones {
+            assert!(!self.jobs[job].spec.one_zone || z.len() <= 1, "wrong_place: {job} in {z:?}");
+        }
+    }
+
+    fn trouble(&mut self) {
+        let now = self.now;
+        let n = self.rng.random_range(0..3usize);
+        let long = self.rng.random_range(3 * S..35 * S);
+        let hold = self.rng.random_bool(0.5);
+        let kind = self.rng.random_range(0..9);
+        self.log.push(format!("{:.1}: trouble {kind} for {:.1} on {n}", now as f64 / 1e6, long as f64 / 1e6));
+        match kind {
+            0 => self.crash(n),
+            1 => (0..3).for_each(|n| self.crash(n)),
+            2 => self.outage_until = now + long,
+            3 => self.cuts.push((End::Node(n), End::Store, now + long, hold)),
+            4 => self.cuts.push((End::Node(n), End::Workers, now + long, hold)),
+            5 => self.cuts.push((End::Node(n), End::Node((n + 1) % 3), now + long, hold)),
+            6 => {
+                let w = self.rng.random_range(0..self.workers.len());
+                self.workers[w].hung_until = now + long;
+            }
+            7 => {
+                let w = self.rng.random_range(0..self.workers.len());
+                self.workers[w].dead = true;
+                self.workers[w].tasks.clear();
+            }
+            _ => self.hung[n] = now + long,
+        }
+    }
+
+    fn crash(&mut self, n: usize) {
+        self.nodes[n] = None;
+        self.boots[n] = 0;
+        self.back_at[n] = self.now + self.rng.random_range(3 * S..9 * S);
+    }
+
+    fn run(&mut self, troubles_until: u64, end: u64) {
+        let mut next_job = S;
+        let mut jobs = 0;
+        let mut next_trouble = 20 * S;
+        while self.now < end {
+            // Leases last their full time again once an outage is over.
+            if self.outage_until > 0 && self.now >= self.outage_until {
+                self.outage_until = 0;
+                for l in self.leases.values_mut() {
+                    l.1 = self.now + l.0;
+                }
+            }
+            for n in 0..3 {
+                if self.nodes[n].is_none() && self.now >= self.back_at[n] {
+                    self.serial += 1;
+                    self.boots[n] = self.serial;
+                    self.started[n] = self.now;
+                    self.hung[n] = 0;
+                    self.nodes[n] = Some(Node::new(settings(n), self.serial));
+                }
+                self.drive_if_awake(n);
+            }
+            if self.now >= next_job && jobs < 40 {
+                jobs += 1;
+                self.add_job(jobs);
+                next_job = self.now + self.rng.random_range(S..8 * S);
+            }
+            if self.now >= next_trouble && self.now < troubles_until {
+                next_trouble = self.now + self.rng.random_range(5 * S..40 * S);
+                self.trouble();
+            }
+            self.run_users();
+            let until = self.now + 100_000;
+            while let Some((&(t, s), _)) = self.queue.first_key_value() {
+                if t > until {
+                    break;
+                }
+                let what = self.queue.remove(&(t, s)).expect("it is there");
+                self.now = self.now.max(t);
+                self.happen(what);
+                self.check();
+            }
+            self.now = until;
+            self.run_workers();
+            self.check();
+        }
+    }
+
+    fn drive_if_awake(&mut self, n: usize) {
+        if self.now >= self.hung[n] {
+            self.drive(n, Event::Tick);
+        }
+    }
+
+    fn finished(&self) -> Vec<String> {
+        self.jobs
+            .iter()
+            .filter(|(_, j)| j.known != Known::Done && j.known != Known::Cancelled)
+            .map(|(id, j)| format!("{id} {:?} {}/{}", j.known, j.done.len(), j.spec.tasks))
+            .collect()
+    }
+}
+
+fn day(seed: u64, troubles_until: u64, end: u64) -> World {
+    let mut w = World::new(seed);
+    let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| w.run(troubles_until, end)));
+    if let Err(e) = r {
+        eprintln!("seed {seed}, at {:.3} s: {:#?}", w.now as f64 / 1e6, w.log);
+        std::panic::resume_unwind(e);
+    }
+    w
+}
+
+#[test]
+fn a_quiet_day_finishes_every_job() {
+    let w = day(1, 0, 300 * S);
+    assert!(w.finished().is_empty(), "{:?}", w.finished());
+    assert!(w.starts > 40);
+}
+
+#[test]
+fn the_rules_hold_and_jobs_finish_whatever_fails() {
+    for seed in 100..160 {
+        let w = day(seed, 250 * S, 520 * S);
+        assert!(w.finished().is_empty(), "seed {seed}: {:?} {:#?}", w.finished(), w.log);
+    }
+}
