--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -195,6 +195,11 @@
     acting_since: Option<Micros>,
     /// Types, and whether spot, left to work of at least a priority.
     pub kept: Vec<(String, bool, u8)>,
+    /// What queueable work was like of late: a task's room and run time, and how long it may queue.
+    usual: Option<(Room, Micros, Micros)>,
+    /// Machines being emptied because the rest of the fleet is enough.
+    spare: BTreeSet<String>,
+    next_spare: Micros,
     /// Whether guarantees ask for room to be kept.
     guarantees: bool,
     next_plan: Micros,
@@ -222,6 +227,9 @@
             gone: BTreeMap::new(),
             acting_since: None,
             kept: Vec::new(),
+            usual: None,
+            spare: BTreeSet::new(),
+            next_spare: Micros(0),
             guarantees,
             next_plan: Micros(0),
         }
@@ -368,6 +376,7 @@
         since: Micros,
     ) -> Vec<String> {
         let mut out = Vec::new();
+        self.shrink(now, machines);
         let mut drain = BTreeSet::new();
         for d in machines.values() {
             if d.standing == Standing::Gone || self.gone.contains_key(&d.name) {
@@ -387,7 +396,10 @@
             };
             if failed || d.silent > Micros::from_millis(40_000) {
                 out.push(d.name.clone());
-            } else if d.idle > patience || (self.drain.contains(&d.name) && d.busy == 0) {
+            } else if self.spare.contains(&d.name)
+                || d.idle > patience
+                || (self.drain.contains(&d.name) && d.busy == 0)
+            {
                 drain.insert(d.name.clone());
                 if self.drain.contains(&d.name) && !d.open && d.busy == 0 && d.standing == Standing::Known {
                     out.push(d.name.clone());
@@ -461,6 +473,67 @@
         self.kept = kept;
     }
 
+    /// Empties the dearest machine when the rest of the fleet gets through the queue in a small part
+    /// of the time that the work may queue.
+    fn shrink(&mut self, now: Micros, machines: &BTreeMap<&str, &MachineDigest>) {
+        self.spare.retain(|n| machines.contains_key(n.as_str()) && !self.gone.contains_key(n));
+        let demands = self.fresh_demands(now);
+        for d in demands.iter().filter(|d| d.count > 0 && d.horizon.0 > 0 && d.estimate.0 > 0) {
+            let (_, estimate, horizon) = self.usual.get_or_insert((d.room, d.estimate, d.horizon));
+            *estimate = Micros((estimate.0 * 7 + d.estimate.0) / 8);
+            *horizon = Micros((horizon.0 * 63 / 64).max(d.horizon.0));
+        }
+        let Some((room, estimate, horizon)) = self.usual else { return };
+        if self.guarantees || now < self.next_spare {
+            return;
+        }
+        let for_queue = |d: &&&MachineDigest| {
+            d.standing == Standing::Known && !self.kept.iter().any(|(k, s, _)| *k == d.kind && *s == d.spot)
+        };
+        let slots = |d: &MachineDigest| d.total.count_of(room).clamp(0, 10_000);
+        let all: Vec<&&MachineDigest> = machines.values().filter(|d| for_queue(d) && d.open).collect();
+        let total: i64 = all.iter().map(|d| slots(d)).sum();
+        let busy: i64 = machines.values().filter(for_queue).map(|d| i64::from(d.busy)).sum();
+        let queued: f64 = demands
+            .iter()
+            .filter(|d| d.horizon.0 > 0)
+            .map(|d| f64::from(d.count) * d.estimate.0 as f64)
+            .sum();
+        let load = queued + busy as f64 * estimate.0 as f64 / 2.0;
+        let time = |slots: i64| load / slots.max(1) as f64;
+        if time(total) > horizon.0 as f64 * 0.6 {
+            self.spare.clear();
+        }
+        let price = |d: &MachineDigest| {
+            let t = self.types.get(&d.kind)?;
+            Some((if d.spot { t.spot_price } else { t.price }) / slots(d).max(1) as f64)
+        };
+        // A machine costs a minute at least, so one that is younger is no saving.
+        let paid = |d: &MachineDigest| {
+            self.listed.as_ref().and_then(|l| l.get(&d.name)).is_some_and(|l| l.age_s > 60.0)
+        };
+        let dearest = all
+            .iter()
+            .filter(|d| paid(d) && !self.spare.contains(&d.name))
+            .max_by(|a, b| price(a).unwrap_or(0.0).total_cmp(&price(b).unwrap_or(0.0)));
+        let Some(d) = dearest else { return };
+        // Every shape of work must still find a machine that it fits.
+        let fits = |s: &Demand, x: &MachineDigest| {
+            x.spot <= s.spot
+                && (s.kinds.is_empty() || s.kinds.contains(&x.kind))
+                && s.zone.as_ref().is_none_or(|z| *z == x.zone)
+                && x.total.holds(s.room)
+        };
+        let safe = demands.iter().all(|s| {
+            !fits(s, d) || all.iter().any(|x| x.name != d.name && !self.spare.contains(&x.name) && fits(s, x))
+        });
+        if safe && time(total - slots(d)) < horizon.0 as f64 * 0.3 {
+            self.next_spare = now + Micros::from_millis(3000);
+            tracing::debug!(machine = %d.name, kind = %d.kind, spot = d.spot, "machine is spare");
+            self.spare.insert(d.name.clone());
+        }
+    }
+
     fn fresh_demands(&self, now: Micros) -> Vec<Demand> {
         let fresh = |t: Micros| now.since(t) < Micros::from_millis(3000);
         let mut all: Vec<Demand> =
