--- a/src/machines.rs
+++ b/src/machines.rs
@@ -199,8 +199,8 @@
 /// What to do with a report.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
-    /// Answer with these orders.
-    Orders(Orders),
+    /// It is the machine's latest; `orders` gives the answer.
+    Taken,
     /// The report is out of date: a newer one has been taken.
     Stale,
     /// The worker has seen a newer token than ours.
@@ -319,18 +319,6 @@
                 || (e.phase == Phase::InDoubt && e.sent_to >= (r.session, r.seq))
         });
         self.changed |= before != x.entries.len();
-        let mut commands = Vec::new();
-        for (k, e) in &x.entries {
-            match (e.phase, e.want) {
-                (Phase::Exited(_), Some(Want::Forget)) => {
-                    commands.push(Command::new("forget", k, None));
-                }
-                (Phase::Fetching | Phase::Waiting | Phase::Running | Phase::Saving, Some(Want::Stop(g))) => {
-                    commands.push(Command::new("kill", k, Some(g)));
-                }
-                _ => {}
-            }
-        }
         let present: BTreeSet<u64> = x
             .entries
             .values()
@@ -344,20 +332,57 @@
         if x.images.len() > IMAGES {
             x.images.remove(0);
         }
+        Verdict::Taken
+    }
+
+    /// What to answer a machine's latest report with. A start in it counts as out from then on.
+    pub fn orders(&mut self, m: &Membership, name: &str) -> Option<Orders> {
+        let x = self.machines.get_mut(name)?;
+        let mut commands = Vec::new();
+        for (k, e) in &x.entries {
+            match (e.phase, e.want) {
+                (Phase::Exited(_), Some(Want::Forget)) => {
+                    commands.push(Command::new("forget", k, None));
+                }
+                (Phase::Fetching | Phase::Waiting | Phase::Running | Phase::Saving, Some(Want::Stop(g))) => {
+                    commands.push(Command::new("kill", k, Some(g)));
+                }
+                _ => {}
+            }
+        }
         commands.truncate(COMMANDS_AN_ANSWER);
         if x.standing == Standing::Known && x.record == Record::Yes {
             let mut room = STARTS_AN_ANSWER;
+            let last = x.last;
             for (k, e) in &mut x.entries {
                 if room > 0 && e.phase == Phase::Queued && e.want == Some(Want::Run) {
                     room -= 1;
                     e.phase = Phase::InDoubt;
-                    e.sent_to = (r.session, r.seq);
+                    e.sent_to = last;
                     self.changed = true;
                     commands.push(Command::new("run", k, None));
                 }
             }
         }
-        Verdict::Orders(Orders { token: m.epoch, commands })
+        Some(Orders { token: m.epoch, commands })
+    }
+
+    /// Whether the answer to this machine's report should wait a little: it has room, there is
+    /// nothing to tell it, and a start that is placed meanwhile goes out at once rather than with
+    /// the next report.
+    pub fn may_wait(&self, now: Micros, name: &str, capacity: impl Fn(&str) -> Option<Room>) -> bool {
+        self.machines.get(name).is_some_and(|x| {
+            x.standing == Standing::Known
+                && x.record == Record::Yes
+                && x.open(now)
+                && capacity(&x.kind).and_then(|t| x.free(t)).is_some_and(|f| f.cpus > 0 && f.memory > 0)
+                && !x.entries.values().any(|e| match e.want {
+                    Some(Want::Run) => e.phase == Phase::Queued,
+                    Some(Want::Stop(_)) => e.alive(),
+                    Some(Want::Forget) => !e.alive(),
+                    _ => false,
+                })
+        })
     }
 
     /// Takes all that one owner wants. Returns false for a message that is out of date.
--- a/src/node.rs
+++ b/src/node.rs
@@ -150,6 +150,8 @@
     next_plan: Micros,
     wall: Micros,
     was_acting: bool,
+    /// Reports whose answer waits a little, by machine.
+    held: BTreeMap<String, (u64, Micros)>,
 }
 
 impl Node {
@@ -192,6 +194,7 @@
             next_plan: Micros(0),
             wall: Micros(0),
             was_acting: false,
+            held: BTreeMap::new(),
             settings,
         }
     }
@@ -201,8 +204,9 @@
         self.wall = wall;
         match event {
             Event::Report(ticket, r) => {
-                let reply = self.report(now, &r);
-                out.push(Effect::Reply(ticket, reply));
+                if let Some(reply) = self.report(now, ticket, &r, out) {
+                    out.push(Effect::Reply(ticket, reply));
+                }
             }
             Event::User(ticket, r) => self.user(now, Origin::Ticket(ticket), r, out),
             Event::Ready(ticket) => {
@@ -264,30 +268,77 @@
             out.push(Effect::Cloud(r));
         }
         self.say(now, out);
+        self.held_reports(now, out);
         self.overdue(now, out);
     }
 
     // ---- Workers ----
 
-    fn report(&mut self, now: Micros, r: &Report) -> Reply {
-        if !self.membership.may_act(now) {
-            return Reply::later("not entitled to act");
-        }
-        match self.membership.home(&r.machine) {
-            Some(h) if h == self.settings.me => {}
-            Some(h) => return Reply::json(421, &json!({"rider": self.membership.name(h)})),
-            None => return Reply::later("no home"),
+    fn report(&mut self, now: Micros, ticket: u64, r: &Report, out: &mut Vec<Effect>) -> Option<Reply> {
+        if let Some(reply) = self.not_home(now, &r.machine) {
+            return Some(reply);
         }
         match self.home.report(now, &self.membership, r) {
-            Verdict::Orders(o) => {
-                Reply { status: 200, body: serde_json::to_string(&o).unwrap_or_default(), retry_after: None }
+            Verdict::Taken => {
+                // The worker has given up on an older report, or it would not have sent this one.
+                if let Some((old, _)) = self.held.remove(&r.machine) {
+                    out.push(Effect::Reply(old, Reply::later("out of date")));
+                }
+                let fleet = &self.fleet;
+                if self.home.may_wait(now, &r.machine, |k| fleet.room(k)) {
+                    self.held.insert(r.machine.clone(), (ticket, now));
+                    return None;
+                }
+                Some(self.orders(&r.machine))
             }
-            Verdict::Stale => Reply::later("out of date"),
+            Verdict::Stale => Some(Reply::later("out of date")),
             Verdict::Deposed => {
                 // Somebody has raised the epoch; find out.
                 self.next_ring = now;
-                Reply::later("a newer epoch is known")
+                Some(Reply::later("a newer epoch is known"))
+            }
+        }
+    }
+
+    /// The answer to a machine's report if this controller may not command it.
+    fn not_home(&self, now: Micros, machine: &str) -> Option<Reply> {
+        if !self.membership.may_act(now) {
+            return Some(Reply::later("not entitled to act"));
+        }
+        match self.membership.home(machine) {
+            Some(h) if h == self.settings.me => None,
+            Some(h) => Some(Reply::json(421, &json!({"rider": self.membership.name(h)}))),
+            None => Some(Reply::later("no home")),
+        }
+    }
+
+    fn orders(&mut self, machine: &str) -> Reply {
+        match self.home.orders(&self.membership, machine) {
+            Some(o) => {
+                Reply { status: 200, body: serde_json::to_string(&o).unwrap_or_default(), retry_after: None }
             }
+            None => Reply::later("no such machine"),
+        }
+    }
+
+    /// Answers reports that were held back, once there is something to say or their time is up.
+    fn held_reports(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let longest = Micros(self.settings.report.0 * 2 / 5);
+        let fleet = &self.fleet;
+        let due: Vec<String> = self
+            .held
+            .iter()
+            .filter(|(name, (_, since))| {
+                now.since(*since) >= longest
+                    || self.not_home(now, name).is_some()
+                    || !self.home.may_wait(now, name, |k| fleet.room(k))
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            let Some((ticket, _)) = self.held.remove(&name) else { continue };
+            let reply = self.not_home(now, &name).unwrap_or_else(|| self.orders(&name));
+            out.push(Effect::Reply(ticket, reply));
         }
     }
 
