--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -195,6 +195,8 @@
     acting_since: Option<Micros>,
     /// Types, and whether spot, left to work of at least a priority.
     pub kept: Vec<(String, bool, u8)>,
+    /// Whether `kept` rests on the word of all owners.
+    pub steers: bool,
     /// What queueable work was like of late: a task's room and run time, and how long it may queue.
     usual: Option<(Room, Micros, Micros)>,
     /// Machines being emptied because the rest of the fleet is enough.
@@ -227,6 +229,7 @@
             gone: BTreeMap::new(),
             acting_since: None,
             kept: Vec::new(),
+            steers: false,
             usual: None,
             spare: BTreeSet::new(),
             next_spare: Micros(0),
@@ -311,9 +314,12 @@
         decider: bool,
         machines: &[MachineDigest],
         heard: bool,
+        members: &[usize],
     ) -> Option<CloudRequest> {
         if !decider {
             self.acting_since = None;
+            self.steers = false;
+            self.demands.clear();
             self.drain.clear();
             self.listed = None;
             self.renting = None;
@@ -346,6 +352,9 @@
             return None;
         }
         let by_name: BTreeMap<&str, &MachineDigest> = machines.iter().map(|d| (d.name.as_str(), d)).collect();
+        // Word on what is kept goes out only once every owner has said what it has seen.
+        let all = members.iter().all(|m| self.demands.contains_key(m));
+        self.steers = all || now.since(since) > Micros::from_millis(2000);
         self.keep(now, machines);
         let returns = self.returns(now, &by_name, since);
         if !returns.is_empty() {
@@ -714,7 +723,7 @@
         for i in 1..60u64 {
             let now = Micros(i * 1_000_000);
             f.demand(now, 0, vec![wants.clone()]);
-            if let Some(r) = f.next(now, true, &[], true) {
+            if let Some(r) = f.next(now, true, &[], true, &[0]) {
                 let answer = match &r {
                     CloudRequest::List(_) => CloudAnswer::Page(Vec::new(), false),
                     CloudRequest::Types => CloudAnswer::Types(f.types.values().cloned().collect()),
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -141,6 +141,10 @@
     evicted: BTreeMap<String, Micros>,
     /// Types that the decider leaves to urgent work.
     kept_types: Vec<(String, bool, u8)>,
+    /// Whether this process has had the decider's word on that. Until then nothing is placed: after
+    /// a restart queued work would take the machines that urgent work needs.
+    steered: bool,
+    loaded_at: Option<Micros>,
     /// Shapes of jobs seen of late, and when.
     shapes: Vec<(Demand, Micros)>,
 }
@@ -171,6 +175,8 @@
             others: BTreeMap::new(),
             evicted: BTreeMap::new(),
             kept_types: Vec::new(),
+            steered: false,
+            loaded_at: None,
             shapes: Vec::new(),
         }
     }
@@ -648,7 +654,7 @@
             return Micros(0);
         }
         let within = of("finished").or(j.spec.deadline.map(|d| d.0)).unwrap_or(120_000_000);
-        Micros((within * 2 / 5).saturating_sub(age.0 / 2))
+        Micros((within * 3 / 5).saturating_sub(age.0 / 2))
     }
 
     /// How long work may wait before work of lower priority is stopped for it.
@@ -806,6 +812,7 @@
     /// The decider's word on types left to urgent work.
     pub fn keep_types(&mut self, kept: Vec<(String, bool, u8)>) {
         self.kept_types = kept;
+        self.steered = true;
     }
 
     /// Stops our tasks of lower priority where waiting work needs the room, those that have run
@@ -863,6 +870,10 @@
             return;
         }
         self.move_gangs(now);
+        let since = *self.loaded_at.get_or_insert(now);
+        if !self.steered && now.since(since) < Micros::from_millis(3000) {
+            return;
+        }
         let mut places = self.places(now, m);
         let mut budget = STARTS_A_PASS;
         self.demands.clear();
--- a/src/node.rs
+++ b/src/node.rs
@@ -259,11 +259,11 @@
             } else {
                 Vec::new()
             };
-            if let Some(r) = self.fleet.next(now, decider, &machines, heard) {
+            if let Some(r) = self.fleet.next(now, decider, &machines, heard, &self.membership.members) {
                 out.push(Effect::Cloud(r));
             }
         } else if self.fleet.types.is_empty()
-            && let Some(r) = self.fleet.next(now, false, &[], false)
+            && let Some(r) = self.fleet.next(now, false, &[], false, &[])
         {
             out.push(Effect::Cloud(r));
         }
@@ -1132,7 +1132,7 @@
                 } else {
                     out.push(Effect::Send(d, f))
                 }
-                if d == self.settings.me {
+                if d == self.settings.me && self.fleet.steers {
                     for p in 0..n {
                         let drain = self.fleet.drain.iter().cloned().collect();
                         let kept = self.fleet.kept.clone();
