Fix gangs that asked for room only every few seconds; one waiting gang an owner keeps machines

Cause: an edit let a gang without places count as held for 4 s, so its demand and its kept machines came and went.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -878,6 +878,8 @@
         let mut budget = STARTS_A_PASS;
         self.demands.clear();
         self.reserved.clear();
+        let mut keeping = false;
+        let taken: BTreeSet<String> = self.foreign(now).map(|r| r.machine.clone()).collect();
         self.shapes.retain(|(_, t)| now.since(*t) < Micros::from_millis(300_000));
         for id in self.order() {
             let Some(spec) = self.jobs.get(&id).map(|j| j.spec.clone()) else { continue };
@@ -930,7 +932,12 @@
                     None => {
                         unplaced = j.spec.tasks;
                         let evict = age >= self.patience(&j.spec);
-                        keeps = keep_places(&mut places, &j.spec, &j.keeps);
+                        // One gang at a time, and not where another owner's waits: several that
+                        // each empty a few machines get nowhere and keep all others out.
+                        if !keeping {
+                            keeps = keep_places(&mut places, &j.spec, &j.keeps, &taken);
+                            keeping = !keeps.is_empty();
+                        }
                         // Others are asked to keep away only when it has waited for a while:
                         // what is kept empty serves nobody.
                         for name in keeps.iter().filter(|_| evict) {
@@ -982,6 +989,10 @@
             }
             let Some(j) = self.jobs.get_mut(&id) else { continue };
             j.keeps = keeps;
+            // A gang without places is not under way: it must go on asking for room.
+            if starts.is_empty() {
+                continue;
+            }
             let gang = j.spec.kind == Kind::Gang;
             if gang {
                 j.gang = Some(Gang::Holding(now));
@@ -1175,10 +1186,13 @@
 /// Keeps machines that a waiting gang could use from less urgent work, so that the room its tasks
 /// need can come together: those kept already, if they will do, else those where the least has to
 /// go. Nothing is kept if the gang would not fit even then. Returns which.
-fn keep_places(places: &mut [Place], s: &Spec, before: &[String]) -> Vec<String> {
+fn keep_places(places: &mut [Place], s: &Spec, before: &[String], taken: &BTreeSet<String>) -> Vec<String> {
     let mut zones: BTreeMap<String, Vec<usize>> = BTreeMap::new();
     let usable = |p: &Place| {
-        p.allowed(s) && p.kept_for.is_none_or(|k| k <= s.priority) && p.free_for(s.priority).holds(s.room)
+        p.allowed(s)
+            && (before.contains(&p.name) || !taken.contains(&p.name))
+            && p.kept_for.is_none_or(|k| k <= s.priority)
+            && p.free_for(s.priority).holds(s.room)
     };
     for (i, p) in places.iter().enumerate().filter(|(_, p)| usable(p)) {
         let zone = if s.one_zone { p.zone.clone() } else { String::new() };
@@ -1207,3 +1221,43 @@
     }
     names
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ring::EpochRecord;
+
+    fn settings() -> Settings {
+        let text = "member = \"c0\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\n\
+            state = \"10.0.0.9:2\"\n[settings]\n[[settings.teams]]\nname = \"t\"\n[settings.workers]\nreport_s = 3.0\n\
+            lease_s = 18.0\ngang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\n\
+            write_rps = 15.0\nvalue_kb = 4.0\ntxn_ops = 8\n[settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n";
+        Settings::parse("test", text).expect("valid")
+    }
+
+    /// Found on sanaq-forms: a gang without places was taken for one being held, asked for machines
+    /// only every few seconds and lost the machines kept for it in between.
+    #[test]
+    fn a_gang_without_places_asks_for_room_at_every_pass() {
+        let s = settings();
+        let mut m = Membership::new(&s, 1);
+        let record = EpochRecord { epoch: 1, members: vec![("c0".into(), 1)] };
+        m.adopt(Micros(1), &record, 1);
+        let teams = Teams::new(&s.teams);
+        let mut owner = Owner::new(&s);
+        owner.adopt(&m, false);
+        owner.load_done(std::iter::empty());
+        owner.keep_types(Vec::new());
+        let raw = json!({"uid":"wk-1","breed":"b","herd":"t","gait":"group","rank":"high","strides":2,"vcpus":2.0,
+            "cards":0,"ramGb":1.0,"tack":"i","imageGb":1,"together":true,"scatter":false,"borrowed":false,
+            "rideS":1,"restS":0,"unsaddleS":0});
+        let spec = Spec::from_value(&raw).expect("valid");
+        owner.insert(raw, spec, Micros(1), Ranges::default(), 1, true);
+        for i in 0..20 {
+            let now = Micros::from_millis(1000 + i * 100);
+            owner.plan(now, now, &m, &teams);
+            let waiting: u32 = owner.demands().iter().map(|d| d.count).sum();
+            assert_eq!(waiting, 2, "at pass {i}");
+        }
+    }
+}
