--- a/src/machines.rs
+++ b/src/machines.rs
@@ -635,3 +635,124 @@
             && now.since(self.heard_at) < Micros::from_millis(8_000)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ring::EpochRecord;
+
+    const ROOM: Room = Room { cpus: 4000, gpus: 0, memory: 8000 };
+
+    fn setup() -> (Membership, Home) {
+        let text = "member = \"c0\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\n\
+            state = \"10.0.0.9:2\"\n[settings.workers]\nreport_s = 3.0\nlease_s = 18.0\ngang_wait_s = 30.0\n\
+            gang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\nwrite_rps = 15.0\nvalue_kb = 4.0\n\
+            txn_ops = 8\n[settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n";
+        let s = Settings::parse("test", text).expect("valid");
+        let mut m = Membership::new(&s, 1);
+        m.adopt(Micros(1), &EpochRecord { epoch: 7, members: vec![("c0".into(), 1)] }, 1);
+        (m, Home::new(&s))
+    }
+    fn report(seq: u64, token: u64, tasks: &[(&str, u64, &str)]) -> Report {
+        let tasks = tasks
+            .iter()
+            .map(|(task, attempt, state)| ReportedTask {
+                task: (*task).into(),
+                attempt: *attempt,
+                state: (*state).into(),
+                why: None,
+                saved: None,
+            })
+            .collect();
+        Report {
+            machine: "i-1".into(),
+            addr: String::new(),
+            kind: "k".into(),
+            zone: "z".into(),
+            spot: false,
+            session: 1,
+            seq,
+            token,
+            notice_s: None,
+            tasks,
+        }
+    }
+    fn want(attempt: u64, cpus: i64) -> Wanted {
+        Wanted {
+            key: TaskKey { job: "wk-1".into(), index: 0, attempt },
+            machine: "i-1".into(),
+            room: Room { cpus, gpus: 0, memory: 0 },
+            want: Want::Run,
+            priority: 0,
+            image: 0,
+        }
+    }
+    fn starts(home: &mut Home, m: &Membership) -> usize {
+        let orders = home.orders(m, "i-1").expect("known");
+        orders.commands.iter().filter(|c| c.op == "run").count()
+    }
+    fn ready() -> (Membership, Home) {
+        let (m, mut home) = setup();
+        assert_eq!(home.report(Micros(10), &m, &report(1, 7, &[])), Verdict::Taken);
+        home.record_state("i-1", false, true);
+        (m, home)
+    }
+
+    #[test]
+    fn nothing_is_started_before_a_report_shows_our_token() {
+        let (m, mut home) = setup();
+        home.report(Micros(10), &m, &report(1, 6, &[]));
+        home.record_state("i-1", false, true);
+        home.wanted(Micros(11), 0, 1, &[want(1, 1000)], &m, |_| Some(ROOM));
+        assert_eq!(starts(&mut home, &m), 0, "an older token's answer may still be executed");
+        home.report(Micros(20), &m, &report(2, 7, &[]));
+        home.wanted(Micros(21), 0, 2, &[want(1, 1000)], &m, |_| Some(ROOM));
+        assert_eq!(starts(&mut home, &m), 1);
+        assert_eq!(home.report(Micros(30), &m, &report(3, 8, &[])), Verdict::Deposed);
+    }
+
+    #[test]
+    fn a_late_report_changes_nothing() {
+        let (m, mut home) = ready();
+        home.report(Micros(20), &m, &report(5, 7, &[("wk-1/0", 1, "running")]));
+        assert_eq!(home.report(Micros(30), &m, &report(4, 7, &[])), Verdict::Stale);
+        assert_eq!(home.digest(Micros(31), &m, 0, |_| Some(ROOM)).1[0].tasks.len(), 1);
+    }
+
+    #[test]
+    fn a_start_is_decided_on_once() {
+        let (m, mut home) = ready();
+        home.wanted(Micros(11), 0, 1, &[want(1, 4000), want(2, 4000)], &m, |_| Some(ROOM));
+        assert_eq!(starts(&mut home, &m), 1);
+        // The accepted one never arrived; the refused one would fit now. The owner may have placed
+        // either elsewhere since, so neither goes out again until it says so under a new attempt.
+        home.report(Micros(20), &m, &report(2, 7, &[]));
+        assert!(home.digest(Micros(21), &m, 0, |_| Some(ROOM)).1[0].tasks.is_empty());
+        home.wanted(Micros(22), 0, 2, &[want(1, 4000), want(2, 4000)], &m, |_| Some(ROOM));
+        assert_eq!(starts(&mut home, &m), 0);
+        home.wanted(Micros(23), 0, 3, &[want(3, 4000)], &m, |_| Some(ROOM));
+        assert_eq!(starts(&mut home, &m), 1);
+    }
+
+    #[test]
+    fn a_start_in_doubt_holds_its_room_until_a_newer_report() {
+        let (m, mut home) = ready();
+        home.wanted(Micros(11), 0, 1, &[want(1, 3000)], &m, |_| Some(ROOM));
+        assert_eq!(starts(&mut home, &m), 1);
+        // The owner asks for it no more: what is out can't be called back by silence.
+        home.wanted(Micros(12), 0, 2, &[], &m, |_| Some(ROOM));
+        let d = home.digest(Micros(13), &m, 0, |_| Some(ROOM)).1.remove(0);
+        assert_eq!((d.free.cpus, d.tasks[0].phase), (1000, Phase::InDoubt));
+        home.report(Micros(20), &m, &report(2, 7, &[("wk-1/0", 1, "pulling")]));
+        let d = home.digest(Micros(21), &m, 0, |_| Some(ROOM)).1.remove(0);
+        assert_eq!((d.free.cpus, d.tasks[0].phase), (1000, Phase::Fetching));
+    }
+
+    #[test]
+    fn nothing_is_started_on_a_machine_that_is_not_on_record() {
+        let (m, mut home) = setup();
+        home.report(Micros(10), &m, &report(1, 7, &[]));
+        home.wanted(Micros(11), 0, 1, &[want(1, 1000)], &m, |_| Some(ROOM));
+        assert_eq!(starts(&mut home, &m), 0);
+    }
+}
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -217,4 +217,47 @@
         assert!(share.iter().all(|&s| s > 600), "{share:?}");
         assert_eq!(Ring::default().owner("x"), None);
     }
+
+    fn member(me: usize) -> Membership {
+        let s = |i: usize| format!("[[seeds]]\nmember = \"c{i}\"\naddr = \"10.0.0.{i}:2\"\n");
+        let seeds: String = (0..3).filter(|&i| i != me).map(s).collect();
+        let text = format!(
+            "member = \"c{me}\"\napi_addr = \"10.0.0.9:1\"\nback = \"10.0.0.9:2\"\n{seeds}[outside]\n\
+            cloud = \"10.0.0.9:1\"\nstate = \"10.0.0.9:2\"\n[settings.workers]\nreport_s = 3.0\nlease_s = 18.0\n\
+            gang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\nwrite_rps = 15.0\n\
+            value_kb = 4.0\ntxn_ops = 8\n[settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n"
+        );
+        let mut m = Membership::new(&Settings::parse("test", &text).expect("valid"), 1);
+        let record = |epoch| EpochRecord { epoch, members: (0..3).map(|i| (format!("c{i}"), 1)).collect() };
+        m.adopt(Micros::from_millis(1000), &record(4), 1);
+        m
+    }
+
+    #[test]
+    fn the_right_to_act_ends_with_the_lease_or_the_last_confirmation() {
+        let at = Micros::from_millis;
+        let mut m = member(0);
+        assert!(!m.may_act(at(1000)));
+        m.confirmed_by_store(at(1000));
+        assert!(m.may_act(at(6900)) && !m.may_act(at(7000)), "a third of 18 s from sending, shortened");
+        m.heard_from(1, 4, at(6500));
+        assert!(!m.may_act(at(7000)), "one of two is not every other");
+        m.heard_from(2, 4, at(6600));
+        assert!(m.may_act(at(9000)) && !m.may_act(at(9500)));
+        m.heard_from(2, 5, at(6700));
+        assert!(!m.may_act(at(7000)), "one knows a newer epoch");
+    }
+
+    #[test]
+    fn others_are_waited_for_until_they_know_the_epoch_or_must_have_stopped() {
+        let at = Micros::from_millis;
+        let mut m = member(0);
+        m.heard_from(1, 4, at(900));
+        assert!(!m.others_have_stopped(at(1100)));
+        assert!(m.others_have_stopped(at(7100)), "a lease after adopting");
+        m.heard_from(2, 4, at(900));
+        assert!(m.others_have_stopped(at(1100)));
+        m.heard_from(2, 0, at(1200));
+        assert!(!m.others_have_stopped(at(1300)), "restarted: it knows nothing any more");
+    }
 }
