--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -399,7 +399,7 @@
             let patience = if self.guarantees {
                 Micros::from_millis(900_000)
             } else if self.kept.iter().any(|(k, spot, _)| *k == d.kind && *spot == d.spot) {
-                Micros(boot * 3)
+                Micros(boot * 5 / 4)
             } else {
                 Micros(boot * 3 / 4)
             };
