--- a/src/node.rs
+++ b/src/node.rs
@@ -210,7 +210,8 @@
             }
             Event::User(ticket, r) => self.user(now, Origin::Ticket(ticket), r, out),
             Event::Ready(ticket) => {
-                let reply = if self.membership.may_act(now) && self.owner.loaded {
+                let acts = self.membership.may_act(now) && self.owner.loaded;
+                let reply = if acts || self.membership.can_pass(now) {
                     Reply::json(200, &json!({"ready": true}))
                 } else {
                     Reply::later("not yet able to act")
@@ -302,11 +303,11 @@
 
     /// The answer to a machine's report if this controller may not command it.
     fn not_home(&self, now: Micros, machine: &str) -> Option<Reply> {
-        if !self.membership.may_act(now) {
-            return Some(Reply::later("not entitled to act"));
-        }
-        match self.membership.home(machine) {
-            Some(h) if h == self.settings.me => None,
+        match self.membership.pass_machine_to(machine) {
+            Some(h) if h == self.settings.me => {
+                let ours = self.membership.home(machine) == Some(h) && self.membership.may_act(now);
+                (!ours).then(|| Reply::later("not entitled to act"))
+            }
             Some(h) => Some(Reply::json(421, &json!({"rider": self.membership.name(h)}))),
             None => Some(Reply::later("no home")),
         }
@@ -354,7 +355,7 @@
     }
 
     fn user(&mut self, now: Micros, from: Origin, r: UserRequest, out: &mut Vec<Effect>) {
-        let reply = match self.membership.job_owner(r.job()) {
+        let reply = match self.membership.pass_job_to(r.job()) {
             None => Reply::later("no ring yet"),
             Some(o) if o != self.settings.me => match from {
                 Origin::Ticket(t) if self.asked.len() < WAITING_LIMIT => {
@@ -368,6 +369,7 @@
             // A job's owner answers only while nobody else can be giving answers as its owner.
             Some(_)
                 if !(self.membership.may_act(now)
+                    && self.membership.job_owner(r.job()) == Some(self.settings.me)
                     && self.owner.loaded
                     && self.membership.others_have_stopped(now)) =>
             {
@@ -1029,6 +1031,7 @@
         Frame {
             from: self.settings.me as u32,
             epoch: self.membership.epoch,
+            members: self.membership.members.iter().map(|&m| m as u32).collect(),
             clock: now,
             boot: self.boot,
             echo,
@@ -1047,6 +1050,7 @@
             self.clocks[from] = (f.boot, f.clock);
             let echo = if f.echo_boot == self.boot && f.echo <= now { f.echo } else { Micros(0) };
             self.membership.heard_from(from, f.epoch, echo);
+            self.membership.told(now, f.epoch, &f.members);
             if f.epoch > self.membership.epoch {
                 self.next_ring = self.next_ring.min(now);
             }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -297,6 +297,8 @@
     pub from: u32,
     /// The epoch the sender has adopted.
     pub epoch: u64,
+    /// Its members, by number.
+    pub members: Vec<u32>,
     /// The sender's steady clock.
     pub clock: Micros,
     /// Which process the sender is.
@@ -429,6 +431,7 @@
         let f = Frame {
             from: 1,
             epoch: 7,
+            members: vec![0, 1],
             clock: Micros(5),
             boot: 1,
             echo: Micros(4),
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -71,6 +71,8 @@
     /// Per controller: the highest epoch it said it knows, and the latest of our own clock
     /// readings that it had heard when it said so.
     heard: Vec<(u64, Micros)>,
+    /// A newer epoch's ring, known from peers only. It says whom to ask; it gives no right to act.
+    hearsay: Option<(u64, Ring, Micros)>,
 }
 
 impl Membership {
@@ -89,6 +91,7 @@
             adopted_at: Micros(0),
             store_until: Micros(0),
             heard: vec![(0, Micros(0)); s.members.len()],
+            hearsay: None,
         }
     }
 
@@ -141,6 +144,42 @@
         }
     }
 
+    /// A peer named the members of its epoch. One that can't reach the store learns in this way
+    /// whom to pass requests and workers on to.
+    pub fn told(&mut self, now: Micros, epoch: u64, members: &[u32]) {
+        let known = self.hearsay.as_ref().map_or(0, |h| h.0).max(self.epoch);
+        if let Some(h) = &mut self.hearsay
+            && h.0 == epoch
+        {
+            h.2 = now;
+        }
+        if epoch > known {
+            let members: Vec<usize> = members.iter().map(|&m| m as usize).collect();
+            self.hearsay = Some((epoch, Ring::new(&self.names, &members), now));
+        }
+    }
+
+    /// The newest ring known, for passing things on.
+    fn newest(&self) -> &Ring {
+        match &self.hearsay {
+            Some((e, r, _)) if *e > self.epoch => r,
+            _ => &self.ring,
+        }
+    }
+    /// Whether requests can be passed on to the members of a newer epoch, one of whom spoke lately.
+    pub fn can_pass(&self, now: Micros) -> bool {
+        let lately = Micros::from_millis(1500);
+        self.hearsay.as_ref().is_some_and(|(e, _, at)| *e > self.epoch && now.since(*at) < lately)
+    }
+    /// Whom to pass a user's request to.
+    pub fn pass_job_to(&self, id: &str) -> Option<usize> {
+        self.newest().owner(&format!("job/{id}"))
+    }
+    /// Whom to send a machine's worker to.
+    pub fn pass_machine_to(&self, machine: &str) -> Option<usize> {
+        self.newest().owner(&format!("machine/{machine}"))
+    }
+
     /// Whether this controller may answer and command: by the store's word, or, when the store
     /// is silent, by that of every other controller. A controller can't tell an outage from a
     /// 503 of its own, hence *every* other one.
@@ -248,6 +287,18 @@
         assert!(!m.may_act(at(7000)), "one knows a newer epoch");
     }
 
+    #[test]
+    fn hearsay_says_whom_to_ask_and_gives_no_right() {
+        let at = Micros::from_millis;
+        let mut m = member(0);
+        m.told(at(2000), 5, &[1, 2]);
+        let passed: Vec<_> = (0..50).filter_map(|i| m.pass_job_to(&format!("wk-{i}"))).collect();
+        assert!(passed.len() == 50 && passed.iter().all(|&p| p != 0));
+        assert!(m.can_pass(at(3000)) && !m.can_pass(at(3600)));
+        assert_eq!((m.epoch, m.may_act(at(2000))), (4, false));
+        assert!((0..50).any(|i| m.job_owner(&format!("wk-{i}")) == Some(0)), "the adopted ring is as it was");
+    }
+
     #[test]
     fn others_are_waited_for_until_they_know_the_epoch_or_must_have_stopped() {
         let at = Micros::from_millis;
