--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -837,10 +837,11 @@
             for (id, idx) in self.by_machine.get(&r.machine).into_iter().flatten() {
                 let Some(j) = self.jobs.get(id) else { continue };
                 let Some(p) = j.placed.get(idx) else { continue };
-                // A team within its guarantee keeps what it has.
+                // Where teams have guarantees the fleet is kept large, and waiting for a machine costs
+                // less than what is lost by stopping tasks that never save.
                 if !matches!(p.want, Want::Stop(_))
                     && j.spec.priority < r.priority
-                    && !teams.within_guarantee(&j.spec.team)
+                    && !teams.guaranteed(&j.spec.team)
                 {
                     ours.push((p.since, id.clone(), *idx));
                 }
--- a/src/teams.rs
+++ b/src/teams.rs
@@ -95,14 +95,6 @@
     pub fn guaranteed(&self, team: &str) -> bool {
         self.teams.get(team).is_some_and(|t| t.guarantee.cpus > 0 || t.guarantee.gpus > 0)
     }
-    /// Whether all that the team has claimed lies within its guarantee.
-    pub fn within_guarantee(&self, team: &str) -> bool {
-        self.guaranteed(team)
-            && self.teams.get(team).is_some_and(|t| {
-                let used = t.claims.values().fold(Room::default(), |a, &b| a + b);
-                used.cpus <= t.guarantee.cpus && used.gpus <= t.guarantee.gpus
-            })
-    }
     /// What the job may use.
     pub fn claim(&self, team: &str, job: &str) -> Room {
         if !self.limited(team) {
