--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1025,9 +1025,40 @@
         }
     }
 
+    /// Stops tasks that can save on machines that the cloud is about to take, so that their progress
+    /// is not lost. Tasks that never save may as well go on: some end in time.
+    fn save_before_loss(&mut self, m: &Membership) {
+        let ending: Vec<(String, Micros)> =
+            self.machines(m.epoch).filter_map(|d| Some((d.name.clone(), d.notice?))).collect();
+        for (name, left) in ending {
+            let on: Vec<(String, u32)> = self.by_machine.get(&name).into_iter().flatten().cloned().collect();
+            for (id, idx) in on {
+                let Some(j) = self.jobs.get_mut(&id) else { continue };
+                let save = j.spec.save;
+                if j.spec.checkpoint.0 == 0 || left < save {
+                    continue;
+                }
+                if j.spec.kind == Kind::Gang {
+                    if j.gang != Some(Gang::Ending) {
+                        tracing::info!(job = %id, machine = %name, reason = "notice", "gang saves and stops");
+                        self.stop_gang(&id, save);
+                    }
+                } else if let Some(p) = j.placed.get_mut(&idx)
+                    && p.phase == Some(Phase::Running)
+                    && !matches!(p.want, Want::Stop(_))
+                {
+                    tracing::info!(job = %id, task = idx, machine = %name, reason = "notice", "task saves and stops");
+                    p.want = Want::Stop(save);
+                    self.dirty.fill(true);
+                }
+            }
+        }
+    }
+
     /// Stops what has to make room; called after placing.
     pub fn make_room(&mut self, now: Micros, m: &Membership, teams: &Teams) {
         if self.loaded {
+            self.save_before_loss(m);
             self.evict(now, m, teams);
         }
     }
@@ -1236,24 +1267,68 @@
         Settings::parse("test", text).expect("valid")
     }
 
-    /// Found on sanaq-forms: a gang without places was taken for one being held, asked for machines
-    /// only every few seconds and lost the machines kept for it in between.
-    #[test]
-    fn a_gang_without_places_asks_for_room_at_every_pass() {
+    fn raw(kind: &str, tasks: u32, checkpoint: f64) -> Value {
+        json!({"uid":"wk-1","breed":"b","herd":"t","gait":kind,"rank":"high","strides":tasks,"vcpus":2.0,
+            "cards":0,"ramGb":1.0,"tack":"i","imageGb":1,"together":true,"scatter":false,"borrowed":true,
+            "rideS":1,"restS":checkpoint,"unsaddleS":5.0})
+    }
+
+    /// An owner of one job, and one machine with room as its home describes it.
+    fn owner_of(raw: Value) -> (Membership, Teams, Owner, MachineDigest) {
         let s = settings();
         let mut m = Membership::new(&s, 1);
-        let record = EpochRecord { epoch: 1, members: vec![("c0".into(), 1)] };
-        m.adopt(Micros(1), &record, 1);
+        m.adopt(Micros(1), &EpochRecord { epoch: 1, members: vec![("c0".into(), 1)] }, 1);
         let teams = Teams::new(&s.teams);
         let mut owner = Owner::new(&s);
         owner.adopt(&m, false);
         owner.load_done(std::iter::empty());
         owner.keep_types(Vec::new());
-        let raw = json!({"uid":"wk-1","breed":"b","herd":"t","gait":"group","rank":"high","strides":2,"vcpus":2.0,
-            "cards":0,"ramGb":1.0,"tack":"i","imageGb":1,"together":true,"scatter":false,"borrowed":false,
-            "rideS":1,"restS":0,"unsaddleS":0});
         let spec = Spec::from_value(&raw).expect("valid");
         owner.insert(raw, spec, Micros(1), Ranges::default(), 1, true);
+        let room = Room { cpus: 8000, gpus: 0, memory: 9000 };
+        let machine = MachineDigest {
+            name: "i-1".into(),
+            kind: "k".into(),
+            zone: "z".into(),
+            spot: true,
+            standing: Standing::Known,
+            open: true,
+            notice: None,
+            free: room,
+            total: room,
+            by_priority: Vec::new(),
+            images: Vec::new(),
+            busy: 0,
+            idle: Micros(0),
+            silent: Micros(0),
+            tasks: Vec::new(),
+        };
+        (m, teams, owner, machine)
+    }
+
+    #[test]
+    fn what_can_save_is_stopped_with_grace_before_its_machine_is_taken() {
+        for (checkpoint, stops) in [(10.0, true), (0.0, false)] {
+            let (m, teams, mut owner, mut machine) = owner_of(raw("batch", 1, checkpoint));
+            let now = Micros::from_millis(1000);
+            owner.digest(now, &m, 0, 1, 0, vec![machine.clone()]);
+            owner.plan(now, now, &m, &teams);
+            let (rev, wanted) = owner.wanted(0, &m);
+            assert_eq!(wanted[0].want, Want::Run);
+            machine.tasks = vec![crate::peer::Actual { key: wanted[0].key.clone(), phase: Phase::Running }];
+            machine.notice = Some(Micros::from_millis(9000));
+            owner.digest(now, &m, 0, 2, rev, vec![machine]);
+            owner.make_room(now, &m, &teams);
+            let expected = if stops { Want::Stop(Micros::from_millis(5000)) } else { Want::Keep };
+            assert_eq!(owner.wanted(0, &m).1[0].want, expected);
+        }
+    }
+
+    /// Found on sanaq-forms: a gang without places was taken for one being held, asked for machines
+    /// only every few seconds and lost the machines kept for it in between.
+    #[test]
+    fn a_gang_without_places_asks_for_room_at_every_pass() {
+        let (m, teams, mut owner, _) = owner_of(raw("group", 2, 0.0));
         for i in 0..20 {
             let now = Micros::from_millis(1000 + i * 100);
             owner.plan(now, now, &m, &teams);
