--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1324,6 +1324,83 @@
         }
     }
 
+    fn running(key: &TaskKey) -> crate::peer::Actual {
+        crate::peer::Actual { key: key.clone(), phase: Phase::Running }
+    }
+
+    #[test]
+    fn a_job_being_ended_starts_nothing() {
+        let (m, teams, mut owner, machine) = owner_of(raw("batch", 3, 0.0));
+        let now = Micros::from_millis(1000);
+        owner.digest(now, &m, 0, 1, 0, vec![machine]);
+        owner.jobs.get_mut("wk-1").expect("live").ending = Some(Final::Cancelled);
+        owner.plan(now, now, &m, &teams);
+        assert!(owner.wanted(0, &m).1.is_empty());
+    }
+
+    #[test]
+    fn a_task_waits_until_its_old_start_is_gone() {
+        let (m, teams, mut owner, mut machine) = owner_of(raw("batch", 1, 0.0));
+        let now = Micros::from_millis(1000);
+        owner.digest(now, &m, 0, 1, 0, vec![machine.clone()]);
+        owner.plan(now, now, &m, &teams);
+        let (rev, wanted) = owner.wanted(0, &m);
+        let old = TaskKey { attempt: 5, ..wanted[0].key.clone() };
+        machine.tasks = vec![running(&old), running(&wanted[0].key)];
+        owner.digest(now, &m, 0, 2, rev, vec![machine.clone()]);
+        machine.tasks = vec![running(&old)];
+        let other = MachineDigest { name: "i-2".into(), tasks: Vec::new(), ..machine.clone() };
+        owner.digest(now, &m, 0, 3, rev, vec![machine, other]);
+        let later = Micros::from_millis(9000);
+        owner.plan(later, later, &m, &teams);
+        let (_, wanted) = owner.wanted(0, &m);
+        assert_eq!(wanted.len(), 1);
+        assert_eq!((&wanted[0].key, wanted[0].want), (&old, Want::Stop(Micros(0))));
+        // It counts towards its team's room all the while.
+        assert_eq!(owner.in_use("wk-1", &owner.jobs["wk-1"]).cpus, 2000);
+    }
+
+    #[test]
+    fn a_completed_task_is_forgotten_only_once_that_is_on_record() {
+        let (m, teams, mut owner, mut machine) = owner_of(raw("batch", 2, 0.0));
+        let now = Micros::from_millis(1000);
+        owner.digest(now, &m, 0, 1, 0, vec![machine.clone()]);
+        owner.plan(now, now, &m, &teams);
+        let (rev, wanted) = owner.wanted(0, &m);
+        let done = crate::peer::Actual { key: wanted[0].key.clone(), phase: Phase::Exited(Exit::Done) };
+        machine.tasks = vec![done, running(&wanted[1].key)];
+        let want_of = |owner: &mut Owner| {
+            let (_, list) = owner.wanted(0, &m);
+            list.iter().find(|w| w.key.index == 0).map(|w| w.want)
+        };
+        for seq in 2..5 {
+            owner.digest(now, &m, 0, seq, rev, vec![machine.clone()]);
+            assert_eq!(want_of(&mut owner), Some(Want::Keep));
+        }
+        let (id, write, _) = owner.next_write(now, false).expect("progress is due");
+        let RecordWrite::Progress(_, kept) = write else { panic!("not an end") };
+        owner.progress_written(now, &id, kept, 9);
+        assert_eq!(want_of(&mut owner), Some(Want::Forget));
+    }
+
+    #[test]
+    fn a_new_epoch_leaves_starts_in_doubt_until_their_home_has_seen_them() {
+        let (mut m, teams, mut owner, machine) = owner_of(raw("batch", 1, 0.0));
+        let now = Micros::from_millis(1000);
+        owner.digest(now, &m, 0, 1, 0, vec![machine.clone()]);
+        owner.plan(now, now, &m, &teams);
+        owner.wanted(0, &m);
+        m.adopt(now, &EpochRecord { epoch: 2, members: vec![("c0".into(), 1)] }, 2);
+        owner.adopt(&m, true);
+        owner.load_done(std::iter::empty());
+        // The home has not yet had our wishes of this epoch; whatever it has seen is of the last.
+        owner.digest(now, &m, 0, 1, u64::MAX - 1, vec![machine.clone()]);
+        assert_eq!(owner.counts().1, 1);
+        let (rev, _) = owner.wanted(0, &m);
+        owner.digest(now, &m, 0, 2, rev, vec![machine]);
+        assert_eq!(owner.counts().1, 0, "now its absence is an answer");
+    }
+
     /// Found on sanaq-forms: a gang without places was taken for one being held, asked for machines
     /// only every few seconds and lost the machines kept for it in between.
     #[test]
