Fix a task started twice: a home decides on a start even while its machine is unconfirmed

Once the machine reported, the digest said that the start wasn't there, the owner placed the task elsewhere, and a repeat of the old wish, already under way, was then accepted too. Now the answer is no at once, for good. Ruled out: the loading of records, retained homes, leases. The unit test fails without the guard.

--- a/src/machines.rs
+++ b/src/machines.rs
@@ -411,8 +411,7 @@
             if m.job_owner(&w.key.job) != Some(from) {
                 continue;
             }
-            let Some(x) = self.machines.get_mut(&w.machine) else { continue };
-            if let Some(e) = x.entries.get_mut(&w.key) {
+            if let Some(e) = self.machines.get_mut(&w.machine).and_then(|x| x.entries.get_mut(&w.key)) {
                 e.room = Some(w.room);
                 e.priority = w.priority;
                 e.image = w.image;
@@ -420,20 +419,20 @@
                     e.phase = Phase::Queued;
                 }
                 // A held or queued start that is to be stopped never goes out.
-                if e.want != Some(w.want) {
-                    e.want = Some(w.want);
-                }
+                e.want = Some(w.want);
                 continue;
             }
             if !matches!(w.want, Want::Hold | Want::Run) || self.decided.contains_key(&w.key) {
                 continue;
             }
-            // While the machine's tasks are not known nothing can be decided; the digest says so
-            // and the owner keeps the start in doubt.
+            // Decided here and now, even if the machine isn't known yet: then the answer is no. The
+            // next digest may say that the start isn't there, and the owner places the task
+            // elsewhere, while a repeat of this very wish is still on its way.
+            self.decided.insert(w.key.clone(), from);
+            let Some(x) = self.machines.get_mut(&w.machine) else { continue };
             if x.standing != Standing::Known {
                 continue;
             }
-            self.decided.insert(w.key.clone(), from);
             let Some(total) = capacity(&x.kind) else { continue };
             // One machine never holds two starts of one task.
             let twin =
@@ -706,7 +705,11 @@
         home.wanted(Micros(11), 0, 1, &[want(1, 1000)], &m, |_| Some(ROOM));
         assert_eq!(starts(&mut home, &m), 0, "an older token's answer may still be executed");
         home.report(Micros(20), &m, &report(2, 7, &[]));
+        // Found by a hunt on sanaq-forms: the wish of before, repeated, must not start the task now.
+        // The digest has told the owner that it isn't there, and it may have been placed elsewhere.
         home.wanted(Micros(21), 0, 2, &[want(1, 1000)], &m, |_| Some(ROOM));
+        assert_eq!(starts(&mut home, &m), 0);
+        home.wanted(Micros(22), 0, 3, &[want(2, 1000)], &m, |_| Some(ROOM));
         assert_eq!(starts(&mut home, &m), 1);
         assert_eq!(home.report(Micros(30), &m, &report(3, 8, &[])), Verdict::Deposed);
     }
