--- /dev/null
+++ b/tests/loopback.rs
@@ -0,0 +1,121 @@
+//! The edges over real sockets on loopback, against stand-ins for the outside systems.
+
+use hazelsaddle::fleet::{CloudAnswer, CloudClient, CloudRequest, Rental};
+use hazelsaddle::peer::{self, Frame, Message};
+use hazelsaddle::store::{Commit, StoreAnswer, StoreClient, StoreRequest};
+use hazelsaddle::units::Micros;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+/// What a stand-in was asked: method, path and body.
+type Asked = Vec<(String, String, Value)>;
+
+/// A stand-in that answers each request in turn with a status and a body, and hands back what it
+/// was asked.
+fn stand_in(answers: Vec<(u16, Value)>) -> (SocketAddrV4, std::thread::JoinHandle<Asked>) {
+    let server = tiny_http::Server::http("127.0.0.1:0").expect("a port is free");
+    let Some(SocketAddr::V4(addr)) = server.server_addr().to_ip() else { panic!("an IPv4 address") };
+    let asked = std::thread::spawn(move || {
+        let mut asked = Vec::new();
+        for (status, body) in answers {
+            let mut r = server.recv().expect("a request");
+            let mut text = String::new();
+            r.as_reader().read_to_string(&mut text).expect("a body");
+            let sent = serde_json::from_str(&text).unwrap_or(Value::Null);
+            asked.push((r.method().to_string(), r.url().to_owned(), sent));
+            r.respond(tiny_http::Response::from_string(body.to_string()).with_status_code(status))
+                .expect("the client is there");
+        }
+        asked
+    });
+    (addr, asked)
+}
+
+#[test]
+fn the_state_service_is_spoken_to_by_its_protocol() {
+    let commit = StoreRequest::Commit(Commit {
+        conditions: vec![("a/b".into(), 0)],
+        puts: vec![("a/b".into(), json!({"x": 1}), Some(7))],
+        drops: vec!["c/d".into()],
+    });
+    let row = json!({"k": "a/b", "v": {"x": 1}, "mark": 412, "tether": 7});
+    let (addr, asked) = stand_in(vec![
+        (200, row.clone()),
+        (404, json!({"ledger": 431})),
+        (200, json!({"rows": [row], "more": true, "ledger": 431})),
+        (200, json!({"ledger": 432})),
+        (409, json!({"failed": ["a/b"], "ledger": 431})),
+        (400, json!({"error": "no such lease"})),
+        (503, json!({})),
+        (200, json!({"tether": 9})),
+        (404, json!({})),
+        (200, json!("nonsense")),
+    ]);
+    let c = StoreClient::new(addr, Duration::from_secs(5));
+    let get = StoreRequest::Get("a/b".into());
+    assert!(matches!(c.call(&get), StoreAnswer::Got(Some(r)) if r.mark == 412 && r.value == json!({"x": 1})));
+    assert_eq!(c.call(&get), StoreAnswer::Got(None));
+    let page = c.call(&StoreRequest::List("a/".into(), "a/a".into()));
+    assert!(matches!(page, StoreAnswer::Page(rows, true) if rows.len() == 1));
+    assert_eq!(c.call(&commit), StoreAnswer::Committed(432));
+    assert_eq!(c.call(&commit), StoreAnswer::Conflict(vec!["a/b".into()]));
+    assert_eq!(c.call(&commit), StoreAnswer::NoLease);
+    assert_eq!(c.call(&commit), StoreAnswer::Refused, "certainly not carried out");
+    assert_eq!(c.call(&StoreRequest::Grant(5000)), StoreAnswer::Granted(9));
+    assert_eq!(c.call(&StoreRequest::Renew(9)), StoreAnswer::NoLease);
+    assert_eq!(c.call(&get), StoreAnswer::Unknown, "an unreadable answer tells nothing");
+    let asked = asked.join().expect("the stand-in ended well");
+    assert_eq!(asked[0].1, "/store/a/b");
+    assert_eq!(asked[2].1, "/store?prefix=a/&limit=200&after=a/a");
+    let expected = json!({"if": [{"k": "a/b", "mark": 0}],
+        "writes": [{"write": "a/b", "v": {"x": 1}, "tether": 7}, {"drop": "c/d"}]});
+    assert_eq!(asked[3], ("POST".into(), "/commit".into(), expected));
+    assert_eq!(asked[7].2, json!({"lifeMs": 5000}));
+    assert_eq!(asked[8].1, "/grants/9/renew");
+    // Nobody is there any more: it can't be known whether a request was carried out.
+    assert_eq!(c.call(&commit), StoreAnswer::Unknown);
+}
+
+#[test]
+fn the_cloud_is_spoken_to_by_its_protocol() {
+    let (addr, asked) = stand_in(vec![
+        (200, json!({"stalls": ["i-000231"]})),
+        (503, json!({"error": "no capacity"})),
+        (503, json!({"error": "trouble"})),
+        (200, json!({})),
+    ]);
+    let c = CloudClient::new(addr);
+    let rental = Rental { name: "r-17".into(), kind: "g8".into(), zone: "a".into(), spot: true, count: 12 };
+    let rent = CloudRequest::Rent(rental);
+    assert_eq!(c.call(&rent), CloudAnswer::Rented(vec!["i-000231".into()]));
+    assert_eq!(c.call(&rent), CloudAnswer::NoCapacity);
+    assert_eq!(c.call(&rent), CloudAnswer::Failed);
+    assert_eq!(c.call(&CloudRequest::Return(vec!["i-000231".into()])), CloudAnswer::Returned);
+    let asked = asked.join().expect("the stand-in ended well");
+    let expected = json!({"hire": "r-17", "stallKind": "g8", "paddock": "a", "borrowed": true, "count": 12});
+    assert_eq!(asked[0], ("POST".into(), "/rentals".into(), expected));
+    assert_eq!(asked[3], ("POST".into(), "/rentals/return".into(), json!({"stalls": ["i-000231"]})));
+}
+
+#[test]
+fn frames_cross_a_link_and_a_malformed_one_ends_only_its_own() {
+    use std::io::Write;
+    let (tx, rx) = crossbeam_channel::unbounded();
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let addr = peer::listen(any, move |f| tx.send(f).expect("the test listens")).expect("a port is free");
+    let mut bad = std::net::TcpStream::connect(addr).expect("it listens");
+    bad.write_all(&[5, 0, 0, 0, 1, 2, 3, 4, 5]).expect("written");
+    let frame = Frame {
+        from: 1,
+        epoch: 3,
+        members: vec![0, 1],
+        clock: Micros(7),
+        boot: 8,
+        echo: Micros(6),
+        echo_boot: 9,
+        body: Message::Beat,
+    };
+    peer::enqueue(&peer::dial(addr), frame.clone());
+    assert_eq!(rx.recv_timeout(Duration::from_secs(60)), Ok(frame));
+}
