--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -386,6 +386,8 @@
     ) -> Vec<String> {
         let mut out = Vec::new();
         self.shrink(now, machines);
+        // Room kept for guarantees is of use only while there is work at all.
+        let quiet = machines.values().all(|d| d.busy == 0 && d.idle > Micros::from_millis(20_000));
         let mut drain = BTreeSet::new();
         for d in machines.values() {
             if d.standing == Standing::Gone || self.gone.contains_key(&d.name) {
@@ -396,7 +398,7 @@
             // Keeping an idle machine is worth it as long as it costs less than booting one.
             // One that urgent work may need before another could boot is kept for longer.
             let boot = self.boot_time(&d.kind).0;
-            let patience = if self.guarantees {
+            let patience = if self.guarantees && !quiet {
                 Micros::from_millis(900_000)
             } else if self.kept.iter().any(|(k, spot, _)| *k == d.kind && *spot == d.spot) {
                 Micros(boot * 5 / 4)
