Tell peers what changed, not whole states; keep machines' names many to a page

Cause: at 550 to 850 machines the processor share went into whole digests and wished-for lists (48% of samples in reconcile, half of all in allocation), and every machine took a change of its own at the state service before its first start. Wishes and digests are now changes since what the receiver says it holds; machines' names go many to a page, conditional on the page's version; a pass looks at each machine once a job; nothing gathers all machines at each event.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,10 +1,12 @@
 //! The fleet: one decider rents machines for work that finds no room and returns those that idle,
 //! never come up or have failed. The decider is the ring owner of a fixed key.
 
-use crate::peer::{Demand, MachineDigest, Standing};
+use crate::peer::{Demand, Standing};
+use crate::settings::Settings;
 use crate::spec::{MachineType, Types};
 use crate::store::{Budget, call};
 use crate::units::{Micros, Room};
+use crate::views::Seen;
 use serde::Deserialize;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
@@ -204,16 +206,18 @@
     next_spare: Micros,
     /// Whether guarantees ask for room to be kept.
     guarantees: bool,
+    /// A machine that has been silent for longer is given back.
+    silence: Micros,
     next_plan: Micros,
 }
 
 impl Fleet {
     /// Nothing known. `boot` is this process's random number.
-    pub fn new(boot: u64, cloud_rps: f64, guarantees: bool) -> Fleet {
+    pub fn new(boot: u64, s: &Settings) -> Fleet {
         Fleet {
             boot,
             rentals: 0,
-            budget: Budget::new(cloud_rps * 0.8),
+            budget: Budget::new(s.cloud_rps * 0.8),
             types: Types::new(),
             next_types: Micros(0),
             next_list: Micros(0),
@@ -233,7 +237,9 @@
             usual: None,
             spare: BTreeSet::new(),
             next_spare: Micros(0),
-            guarantees,
+            guarantees: s.teams.iter().any(|t| t.cpus > 0.0 || t.gpus > 0.0),
+            // By then its tasks' lease has run out, and one that only hung had time to come back.
+            silence: Micros(s.worker_lease.0 * 2),
             next_plan: Micros(0),
         }
     }
@@ -306,13 +312,25 @@
         }
     }
 
+    /// Whether `next` has anything to look at, so that nobody gathers machines for nothing.
+    pub fn due(&self, now: Micros) -> bool {
+        !self.busy
+            && now >= self.pause_until
+            && (now >= self.next_types
+                || now >= self.next_list
+                || now >= self.next_plan
+                || self.listed.is_none()
+                || !self.page.is_empty()
+                || self.renting.is_some())
+    }
+
     /// The next request, if one is due. `machines` are all homes' machines; `heard` tells whether
     /// every home has spoken since the epoch began.
     pub fn next(
         &mut self,
         now: Micros,
         decider: bool,
-        machines: &[MachineDigest],
+        machines: &[&Seen],
         heard: bool,
         members: &[usize],
     ) -> Option<CloudRequest> {
@@ -351,7 +369,7 @@
         if !heard || now < self.next_plan || self.types.is_empty() || !self.budget.take(now, 1.0, 0.0) {
             return None;
         }
-        let by_name: BTreeMap<&str, &MachineDigest> = machines.iter().map(|d| (d.name.as_str(), d)).collect();
+        let by_name: BTreeMap<&str, &Seen> = machines.iter().map(|d| (d.name.as_str(), *d)).collect();
         // Word on what is kept goes out only once every owner has said what it has seen.
         let all = members.iter().all(|m| self.demands.contains_key(m));
         self.steers = all || now.since(since) > Micros::from_millis(2000);
@@ -378,16 +396,11 @@
     }
 
     /// Machines to give back now; also settles which are to be emptied first.
-    fn returns(
-        &mut self,
-        now: Micros,
-        machines: &BTreeMap<&str, &MachineDigest>,
-        since: Micros,
-    ) -> Vec<String> {
+    fn returns(&mut self, now: Micros, machines: &BTreeMap<&str, &Seen>, since: Micros) -> Vec<String> {
         let mut out = Vec::new();
         self.shrink(now, machines);
         // Room kept for guarantees is of use only while there is work at all.
-        let quiet = machines.values().all(|d| d.busy == 0 && d.idle > Micros::from_millis(20_000));
+        let quiet = machines.values().all(|d| d.busy == 0 && d.idle_for(now) > Micros::from_millis(20_000));
         let mut drain = BTreeSet::new();
         for d in machines.values() {
             if d.standing == Standing::Gone || self.gone.contains_key(&d.name) {
@@ -405,10 +418,10 @@
             } else {
                 Micros(boot * 3 / 4)
             };
-            if failed || d.silent > Micros::from_millis(40_000) {
+            if failed || d.silent_for(now) > self.silence {
                 out.push(d.name.clone());
             } else if self.spare.contains(&d.name)
-                || d.idle > patience
+                || d.idle_for(now) > patience
                 || (self.drain.contains(&d.name) && d.busy == 0)
             {
                 drain.insert(d.name.clone());
@@ -438,7 +451,7 @@
 
     /// Which types to leave to urgent work: those on which alone some shape of job fits that others
     /// of lower priority don't need, as long as that is the smaller part of the fleet.
-    fn keep(&mut self, now: Micros, machines: &[MachineDigest]) {
+    fn keep(&mut self, now: Micros, machines: &[&Seen]) {
         let shapes = self.fresh_demands(now);
         let mut options: BTreeSet<(String, bool)> = BTreeSet::new();
         for t in self.types.values() {
@@ -486,7 +499,7 @@
 
     /// Empties the dearest machine when the rest of the fleet gets through the queue in a small part
     /// of the time that the work may queue.
-    fn shrink(&mut self, now: Micros, machines: &BTreeMap<&str, &MachineDigest>) {
+    fn shrink(&mut self, now: Micros, machines: &BTreeMap<&str, &Seen>) {
         self.spare.retain(|n| machines.contains_key(n.as_str()) && !self.gone.contains_key(n));
         let demands = self.fresh_demands(now);
         for d in demands.iter().filter(|d| d.count > 0 && d.horizon.0 > 0 && d.estimate.0 > 0) {
@@ -498,11 +511,11 @@
         if self.guarantees || now < self.next_spare {
             return;
         }
-        let for_queue = |d: &&&MachineDigest| {
+        let for_queue = |d: &&&Seen| {
             d.standing == Standing::Known && !self.kept.iter().any(|(k, s, _)| *k == d.kind && *s == d.spot)
         };
-        let slots = |d: &MachineDigest| d.total.count_of(room).clamp(0, 10_000);
-        let all: Vec<&&MachineDigest> = machines.values().filter(|d| for_queue(d) && d.open).collect();
+        let slots = |d: &Seen| d.total.count_of(room).clamp(0, 10_000);
+        let all: Vec<&&Seen> = machines.values().filter(|d| for_queue(d) && d.open).collect();
         let total: i64 = all.iter().map(|d| slots(d)).sum();
         let busy: i64 = machines.values().filter(for_queue).map(|d| i64::from(d.busy)).sum();
         let queued: f64 = demands
@@ -515,21 +528,20 @@
         if time(total) > horizon.0 as f64 * 0.6 {
             self.spare.clear();
         }
-        let price = |d: &MachineDigest| {
+        let price = |d: &Seen| {
             let t = self.types.get(&d.kind)?;
             Some((if d.spot { t.spot_price } else { t.price }) / slots(d).max(1) as f64)
         };
         // A machine costs a minute at least, so one that is younger is no saving.
-        let paid = |d: &MachineDigest| {
-            self.listed.as_ref().and_then(|l| l.get(&d.name)).is_some_and(|l| l.age_s > 60.0)
-        };
+        let paid =
+            |d: &Seen| self.listed.as_ref().and_then(|l| l.get(&d.name)).is_some_and(|l| l.age_s > 60.0);
         let dearest = all
             .iter()
             .filter(|d| paid(d) && !self.spare.contains(&d.name))
             .max_by(|a, b| price(a).unwrap_or(0.0).total_cmp(&price(b).unwrap_or(0.0)));
         let Some(d) = dearest else { return };
         // Every shape of work must still find a machine that it fits.
-        let fits = |s: &Demand, x: &MachineDigest| {
+        let fits = |s: &Demand, x: &Seen| {
             x.spot <= s.spot
                 && (s.kinds.is_empty() || s.kinds.contains(&x.kind))
                 && s.zone.as_ref().is_none_or(|z| *z == x.zone)
@@ -554,7 +566,7 @@
     }
 
     /// The next rental that the waiting work is worth.
-    fn rent(&mut self, now: Micros, machines: &BTreeMap<&str, &MachineDigest>) -> Option<Rental> {
+    fn rent(&mut self, now: Micros, machines: &BTreeMap<&str, &Seen>) -> Option<Rental> {
         self.no_capacity.retain(|_, until| now < *until);
         // Room on its way: rented by us, or listed as booting.
         let mut coming: Vec<(String, String, bool, Room)> = Vec::new();
@@ -692,8 +704,15 @@
             horizon: Micros(0),
         }
     }
+    fn settings() -> Settings {
+        let text = "member = \"c0\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\n\
+            state = \"10.0.0.9:2\"\n[settings.workers]\nreport_s = 3.0\nlease_s = 18.0\ngang_wait_s = 30.0\n\
+            gang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\nwrite_rps = 15.0\nvalue_kb = 4.0\n\
+            txn_ops = 8\n[settings.cloud]\nrps = 8.0\nlist_lag_s = 8.0\n";
+        Settings::parse("test", text).expect("valid")
+    }
     fn fleet(shapes: Vec<Demand>) -> Fleet {
-        let mut f = Fleet::new(1, 8.0, false);
+        let mut f = Fleet::new(1, &settings());
         for t in [kind("small", 4.0), kind("large", 32.0)] {
             f.types.insert(t.name.clone(), t);
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,16 +4,17 @@
 
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
-use crate::machines::{Home, MachineRecord, Report, Verdict};
-use crate::peer::{Frame, Message, Reply, UserRequest};
+use crate::machines::{Home, Report, Verdict};
+use crate::peer::{Frame, Message, Reply, UserRequest, Wishes};
 use crate::ring::{EpochRecord, Membership};
+use crate::roll::{self, PageWrite, Roll};
 use crate::settings::Settings;
 use crate::spec::Spec;
 use crate::store::{Budget, Commit, Row, StoreAnswer, StoreRequest};
 use crate::teams::{ClaimWrite, Teams};
 use crate::units::{Micros, Ranges};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Where the epoch record is kept.
 const EPOCH_KEY: &str = "ring/epoch";
@@ -81,8 +82,8 @@
     VerifyEnd(String),
     Lookup(String),
     LookupEnd(String),
-    Machines(Vec<String>),
-    Erase(Vec<String>),
+    Roll(u64, PageWrite),
+    ReadPage(u64, u32),
     Claim(ClaimWrite),
     ReadTeam(String),
 }
@@ -117,6 +118,8 @@
     pub teams: Teams,
     /// Its work as the decider.
     pub fleet: Fleet,
+    roll: Roll,
+    next_prune: Micros,
     // Ring loop.
     lease: Option<u64>,
     registered: bool,
@@ -143,29 +146,34 @@
     asked: BTreeMap<u64, (u64, Micros)>,
     // Peers.
     clocks: Vec<(u64, Micros)>,
-    digest_seq: u64,
-    sent_wanted: Vec<Micros>,
-    sent_digest: Micros,
+    /// Per controller: when it was last told our state, up to which change of our machines, which
+    /// of those it says it holds, and whether it waits to hear which of its we hold.
+    sent: Vec<Micros>,
+    sent_seq: Vec<u64>,
+    acked: Vec<u64>,
+    owe_ack: Vec<bool>,
     sent_demands: Micros,
     next_plan: Micros,
     wall: Micros,
     was_acting: bool,
-    /// Reports whose answer waits a little, by machine.
-    held: BTreeMap<String, (u64, Micros)>,
+    /// Reports whose answer waits a little, by machine, and the order in which they came.
+    held: BTreeMap<String, u64>,
+    held_order: VecDeque<(Micros, String, u64)>,
 }
 
 impl Node {
     /// A controller that has just started; `boot` is a random number.
     pub fn new(settings: Settings, boot: u64) -> Node {
         let n = settings.members.len();
-        let guarantees = settings.teams.iter().any(|t| t.cpus > 0.0 || t.gpus > 0.0);
         Node {
             boot,
             membership: Membership::new(&settings, boot),
             owner: Owner::new(&settings),
             home: Home::new(&settings),
             teams: Teams::new(&settings.teams),
-            fleet: Fleet::new(boot, settings.cloud_rps, guarantees),
+            fleet: Fleet::new(boot, &settings),
+            roll: Roll::new(&settings.member, settings.value_bytes),
+            next_prune: Micros(0),
             lease: None,
             registered: false,
             seen: None,
@@ -187,14 +195,16 @@
             withdrawing: BTreeMap::new(),
             asked: BTreeMap::new(),
             clocks: vec![(0, Micros(0)); n],
-            digest_seq: 0,
-            sent_wanted: vec![Micros(0); n],
-            sent_digest: Micros(0),
+            sent: vec![Micros(0); n],
+            sent_seq: vec![0; n],
+            acked: vec![0; n],
+            owe_ack: vec![false; n],
             sent_demands: Micros(0),
             next_plan: Micros(0),
             wall: Micros(0),
             was_acting: false,
             held: BTreeMap::new(),
+            held_order: VecDeque::new(),
             settings,
         }
     }
@@ -225,7 +235,13 @@
                     self.stored(now, p, a, out);
                 }
             }
-            Event::Cloud(r, a) => self.fleet.answer(now, &r, a),
+            Event::Cloud(r, a) => {
+                let before = (r == CloudRequest::Types).then(|| self.fleet.types.clone());
+                self.fleet.answer(now, &r, a);
+                if before.is_some_and(|t| t != self.fleet.types) {
+                    self.home.touch_all();
+                }
+            }
             Event::Tick => {}
         }
     }
@@ -240,6 +256,7 @@
         if acting != self.was_acting {
             self.was_acting = acting;
             tracing::info!(epoch = self.membership.epoch, acting, "right to act changed");
+            self.release_held(now, out);
         }
         self.home.tick(now, &self.membership);
         if acting && self.owner.loaded {
@@ -253,15 +270,13 @@
             }
             self.team_loop(now, out);
             self.record_loop(now, out);
-            let decider = self.membership.decider() == Some(self.settings.me);
-            let heard = self.owner.all_homes_heard(&self.membership);
-            let machines: Vec<_> = if decider {
-                self.owner.machines(self.membership.epoch).cloned().collect()
-            } else {
-                Vec::new()
-            };
-            if let Some(r) = self.fleet.next(now, decider, &machines, heard, &self.membership.members) {
-                out.push(Effect::Cloud(r));
+            if self.fleet.due(now) {
+                let decider = self.membership.decider() == Some(self.settings.me);
+                let heard = self.owner.all_homes_heard(&self.membership);
+                let machines: Vec<_> =
+                    self.owner.machines(self.membership.epoch).filter(|_| decider).collect();
+                let r = self.fleet.next(now, decider, &machines, heard, &self.membership.members);
+                out.extend(r.map(Effect::Cloud));
             }
         } else if self.fleet.types.is_empty()
             && let Some(r) = self.fleet.next(now, false, &[], false, &[])
@@ -282,12 +297,13 @@
         match self.home.report(now, &self.membership, r) {
             Verdict::Taken => {
                 // The worker has given up on an older report, or it would not have sent this one.
-                if let Some((old, _)) = self.held.remove(&r.machine) {
+                if let Some(old) = self.held.remove(&r.machine) {
                     out.push(Effect::Reply(old, Reply::later("out of date")));
                 }
                 let fleet = &self.fleet;
                 if self.home.may_wait(now, &r.machine, |k| fleet.room(k)) {
-                    self.held.insert(r.machine.clone(), (ticket, now));
+                    self.held.insert(r.machine.clone(), ticket);
+                    self.held_order.push_back((now, r.machine.clone(), ticket));
                     return None;
                 }
                 Some(self.orders(&r.machine))
@@ -323,21 +339,37 @@
     }
 
     /// Answers reports that were held back, once there is something to say or their time is up.
+    /// Looks only at machines that changed and at those held longest.
     fn held_reports(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let longest = Micros(self.settings.report.0 * 2 / 5);
+        let mut due: Vec<String> = Vec::new();
+        while let Some((since, name, ticket)) = self.held_order.front() {
+            let answered = self.held.get(name) != Some(ticket);
+            if !answered && now.since(*since) < longest {
+                break;
+            }
+            if !answered {
+                due.push(name.clone());
+            }
+            self.held_order.pop_front();
+        }
         let fleet = &self.fleet;
-        let due: Vec<String> = self
-            .held
-            .iter()
-            .filter(|(name, (_, since))| {
-                now.since(*since) >= longest
-                    || self.not_home(now, name).is_some()
-                    || !self.home.may_wait(now, name, |k| fleet.room(k))
-            })
-            .map(|(name, _)| name.clone())
-            .collect();
+        for name in self.home.fresh() {
+            if self.held.contains_key(&name) && !self.home.may_wait(now, &name, |k| fleet.room(k)) {
+                due.push(name);
+            }
+        }
         for name in due {
-            let Some((ticket, _)) = self.held.remove(&name) else { continue };
+            let Some(ticket) = self.held.remove(&name) else { continue };
+            let reply = self.not_home(now, &name).unwrap_or_else(|| self.orders(&name));
+            out.push(Effect::Reply(ticket, reply));
+        }
+    }
+
+    /// The ring or the right to act has changed: whoever waits is answered by what holds now.
+    fn release_held(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        self.held_order.clear();
+        for (name, ticket) in std::mem::take(&mut self.held) {
             let reply = self.not_home(now, &name).unwrap_or_else(|| self.orders(&name));
             out.push(Effect::Reply(ticket, reply));
         }
@@ -630,7 +662,10 @@
         self.home.adopt(now, &self.membership, follows, |job| ring_before.owner(&format!("job/{job}")));
         self.owner.adopt(&self.membership, follows);
         self.teams.unread();
-        self.digest_seq = record.epoch << 32;
+        self.roll.unread();
+        self.acked.fill(0);
+        self.sent_seq.fill(0);
+        self.release_held(now, out);
         self.load = Load::Jobs;
         self.load_after.clear();
         self.load_busy = false;
@@ -658,7 +693,7 @@
         let e = self.membership.epoch;
         let (purpose, prefix) = match self.load {
             Load::Jobs => (Purpose::LoadJobs(e), "job/"),
-            Load::Machines => (Purpose::LoadMachines(e), "mach/"),
+            Load::Machines => (Purpose::LoadMachines(e), roll::PREFIX),
             _ => (Purpose::LoadTeams(e), "team/"),
         };
         let r = StoreRequest::List(prefix.into(), self.load_after.clone());
@@ -673,14 +708,16 @@
             match part {
                 Load::Jobs => self.take_job_row(row),
                 Load::Machines => {
-                    let Some(name) = row.key.strip_prefix("mach/") else { continue };
-                    self.machines_on_record.push(name.to_owned());
-                    if self.membership.home(name) != Some(self.settings.me) {
+                    let Some(list) = roll::read(&row.value) else {
+                        tracing::error!(key = %row.key, "unreadable page of machines");
                         continue;
-                    }
-                    match serde_json::from_value::<MachineRecord>(row.value) {
-                        Ok(r) => self.home.recorded(now, name, r),
-                        Err(e) => tracing::error!(machine = name, reason = %e, "unreadable machine record"),
+                    };
+                    self.roll.take(&row.key, &list, row.mark);
+                    for (name, r) in list {
+                        if self.membership.home(&name) == Some(self.settings.me) {
+                            self.home.recorded(now, &name, r);
+                        }
+                        self.machines_on_record.push(name);
                     }
                 }
                 _ => {
@@ -709,7 +746,6 @@
                 machines = self.owner.unheard(),
                 "records read"
             );
-            self.home.changed = true;
         }
     }
 
@@ -814,19 +850,24 @@
                 }
                 _ => self.looked_up(now, &id, false, out),
             },
-            Purpose::Machines(names) => {
-                let ok = matches!(a, StoreAnswer::Committed(_));
-                for n in names {
-                    self.home.record_state(&n, false, ok);
-                }
-            }
-            Purpose::Erase(names) => {
-                if matches!(a, StoreAnswer::Committed(_)) {
-                    for n in names {
-                        self.home.erased(&n);
+            Purpose::Roll(epoch, w) if epoch == self.membership.epoch => match a {
+                StoreAnswer::Committed(mark) => {
+                    self.roll.written(&w, mark);
+                    for n in &w.names {
+                        self.home.on_record(n);
                     }
                 }
+                a => self.roll.failed(w.page, a == StoreAnswer::Refused),
+            },
+            Purpose::ReadPage(epoch, page) if epoch == self.membership.epoch => {
+                let mark = match a {
+                    StoreAnswer::Got(row) => Some(row.map_or(0, |r| r.mark)),
+                    _ => None,
+                };
+                self.roll.version(page, mark);
             }
+            // Of an epoch that has passed: the page has been read again since.
+            Purpose::Roll(..) | Purpose::ReadPage(..) => {}
             Purpose::Claim(w) => match a {
                 StoreAnswer::Committed(mark) => {
                     self.teams.committed(w, mark);
@@ -976,37 +1017,43 @@
             self.writes.take(now, 2.0, 0.0);
             self.commit_record(id, w, mark, out);
         }
-        if self.writes.level(now) >= 0.4 {
-            let new = self.home.to_record();
-            let some: Vec<_> = new.into_iter().take(self.settings.txn_ops.min(8)).collect();
-            if !some.is_empty() && self.writes.take(now, some.len() as f64, 0.1) {
-                let mut c = Commit { conditions: vec![self.fence()], ..Commit::default() };
-                let mut names = Vec::new();
-                for (name, r) in some {
-                    self.home.record_state(&name, true, false);
-                    if let Ok(v) = serde_json::to_value(&r) {
-                        c.puts.push((format!("mach/{name}"), v, None));
-                    }
-                    names.push(name);
-                }
-                self.ask_store(Purpose::Machines(names), StoreRequest::Commit(c), out);
-            }
-        }
+        self.roll_loop(now, out);
         while self.writes.level(now) >= 0.6 && self.in_flight.len() < IN_FLIGHT {
             let Some((id, w, mark)) = self.owner.next_write(now, false) else { break };
             self.writes.take(now, 1.0, 0.0);
             self.commit_record(id, w, mark, out);
         }
-        if self.writes.level(now) >= 0.8 && !self.in_flight.values().any(|p| matches!(p, Purpose::Erase(_))) {
-            let names: Vec<String> = self.home.to_erase().into_iter().take(self.settings.txn_ops).collect();
-            if !names.is_empty() && self.writes.take(now, names.len() as f64, 0.0) {
-                let c = Commit {
-                    conditions: vec![self.fence()],
-                    drops: names.iter().map(|n| format!("mach/{n}")).collect(),
-                    ..Commit::default()
-                };
-                self.ask_store(Purpose::Erase(names), StoreRequest::Commit(c), out);
+    }
+
+    /// Keeps our pages of the roll of machines.
+    fn roll_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        for (name, r) in self.home.to_record() {
+            self.roll.add(&name, &r);
+        }
+        if now >= self.next_prune {
+            self.next_prune = now + Micros::from_millis(5000);
+            let (home, owner, m) = (&self.home, &self.owner, &self.membership);
+            self.roll.prune(|n| match home.is_gone(n) {
+                Some(gone) => gone,
+                None => m.home(n) != Some(m.me) && owner.gone(n, m),
+            });
+            let acked: Vec<u64> = self.membership.members.iter().map(|&p| self.acked[p]).collect();
+            self.home.drop_gone(&acked);
+        }
+        let epoch = self.membership.epoch;
+        while let Some((page, key)) = self.roll.next_read() {
+            self.ask_store(Purpose::ReadPage(epoch, page), StoreRequest::Get(key), out);
+        }
+        while self.writes.level(now) >= 0.3 && self.in_flight.len() < IN_FLIGHT {
+            let Some(w) = self.roll.next_write() else { break };
+            self.writes.take(now, 1.0, 0.0);
+            let mut c =
+                Commit { conditions: vec![self.fence(), (w.key.clone(), w.mark)], ..Commit::default() };
+            match &w.value {
+                Some(v) => c.puts.push((w.key.clone(), v.clone(), None)),
+                None => c.drops.push(w.key.clone()),
             }
+            self.ask_store(Purpose::Roll(epoch, w), StoreRequest::Commit(c), out);
         }
     }
 
@@ -1036,6 +1083,7 @@
             boot: self.boot,
             echo,
             echo_boot,
+            digest_seen: self.owner.digest_seen(to, self.membership.epoch),
             body,
         }
     }
@@ -1056,13 +1104,18 @@
             }
         }
         let same = f.epoch == self.membership.epoch && f.epoch > 0;
+        if same {
+            self.acked[from] = self.acked[from].max(f.digest_seen);
+        }
         match f.body {
-            Message::Wanted { rev, list } if same => {
+            Message::State(wishes, digest) if same => {
                 let fleet = &self.fleet;
-                self.home.wanted(now, from, rev, &list, &self.membership, |k| fleet.room(k));
-            }
-            Message::Digest { seq, rev_seen, machines } if same => {
-                self.owner.digest(now, &self.membership, from, seq, rev_seen, machines);
+                self.home.wanted(now, from, &wishes, &self.membership, |k| fleet.room(k));
+                self.owe_ack[from] |= self.owner.digest(now, &self.membership, from, digest);
+                // What we hold of our own machines needs no frame.
+                if from == self.settings.me {
+                    self.acked[from] = self.owner.digest_seen(from, self.membership.epoch);
+                }
             }
             Message::Demands(d) if same => self.fleet.demand(now, from, d),
             Message::Reserve(list) if same && from != self.settings.me => {
@@ -1085,44 +1138,41 @@
     /// Sends what peers should know: at once when it changed, and every digest period.
     fn say(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let period = self.settings.digest;
-        let soon = Micros::from_millis(60);
         let n = self.settings.members.len();
         let active = self.load == Load::Done && self.membership.epoch > 0;
         let mut own = Vec::new();
         if !active {
-            if now.since(self.sent_digest) >= period {
-                self.sent_digest = now;
-                for p in (0..n).filter(|&p| p != self.settings.me) {
+            for p in (0..n).filter(|&p| p != self.settings.me) {
+                if now.since(self.sent[p]) >= period {
+                    self.sent[p] = now;
                     out.push(Effect::Send(p, self.envelope(now, p, Message::Beat)));
                 }
             }
             return;
         }
         for p in 0..n {
-            let gap = now.since(self.sent_wanted[p]);
-            let member = self.membership.members.contains(&p);
-            if member && (gap >= period || (self.owner.dirty[p] && gap >= soon)) {
-                self.sent_wanted[p] = now;
-                let (rev, list) = self.owner.wanted(p, &self.membership);
-                let f = self.envelope(now, p, Message::Wanted { rev, list });
-                if p == self.settings.me { own.push(f) } else { out.push(Effect::Send(p, f)) }
+            // Changes are gathered for a moment: a frame costs more than what it says.
+            let soon = if p == self.settings.me { period.0 / 25 } else { period.0 / 5 };
+            let gap = now.since(self.sent[p]);
+            let news = self.home.seq() > self.sent_seq[p] || self.owe_ack[p];
+            if gap < period && (gap.0 < soon || !(news || self.owner.has_news(p, &self.membership))) {
+                continue;
             }
+            self.sent[p] = now;
+            self.sent_seq[p] = self.home.seq();
+            self.owe_ack[p] = false;
+            let wishes = match self.membership.members.contains(&p) {
+                true => self.owner.wanted(p, &self.membership),
+                false => Wishes::default(),
+            };
+            let fleet = &self.fleet;
+            let digest = self.home.digest(now, &self.membership, p, self.acked[p], |k| fleet.room(k));
+            let f = self.envelope(now, p, Message::State(wishes, digest));
+            if p == self.settings.me { own.push(f) } else { out.push(Effect::Send(p, f)) }
         }
         for f in own.drain(..) {
             self.frame(now, f, out);
         }
-        let gap = now.since(self.sent_digest);
-        if gap >= period || (self.home.changed && gap >= soon) {
-            self.sent_digest = now;
-            self.home.changed = false;
-            self.digest_seq += 1;
-            for p in 0..n {
-                let fleet = &self.fleet;
-                let (rev_seen, machines) = self.home.digest(now, &self.membership, p, |k| fleet.room(k));
-                let f = self.envelope(now, p, Message::Digest { seq: self.digest_seq, rev_seen, machines });
-                if p == self.settings.me { own.push(f) } else { out.push(Effect::Send(p, f)) }
-            }
-        }
         if now.since(self.sent_demands) >= period {
             self.sent_demands = now;
             for p in (0..n).filter(|&p| p != self.settings.me) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,6 +1,6 @@
 //! What controllers say to one another, and the links that carry it: framed TCP, each message an
-//! `rkyv` archive that is validated on arrival. Messages hold whole states, not changes, so a lost
-//! one is made good by the next.
+//! `rkyv` archive that is validated on arrival. A message holds all that changed since the state the
+//! receiver last said it has, so a lost, repeated or overtaken one costs a delay and nothing else.
 
 use crate::units::{Micros, Room};
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
@@ -137,7 +137,7 @@
     pub standing: Standing,
     /// Whether it takes new tasks.
     pub open: bool,
-    /// Time until the cloud takes it away, if that was announced.
+    /// Time until the cloud takes it away, if that was announced; as of sending, like all spans here.
     pub notice: Option<Micros>,
     /// Free room.
     pub free: Room,
@@ -149,10 +149,10 @@
     pub images: Vec<u64>,
     /// How many tasks of any owner are on it or accepted for it.
     pub busy: u32,
-    /// How long it has been without a task.
-    pub idle: Micros,
-    /// How long it has been silent.
-    pub silent: Micros,
+    /// How long it has been without a task, if it is.
+    pub idle: Option<Micros>,
+    /// How long it has been silent, if it missed reports.
+    pub silent: Option<Micros>,
     /// The receiver's tasks on it.
     pub tasks: Vec<Actual>,
 }
@@ -193,25 +193,37 @@
     pub evict: bool,
 }
 
+/// Owner to home: what the sender wants on the receiver's machines.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, Default, PartialEq)]
+pub struct Wishes {
+    /// Grows with every such message.
+    pub rev: u64,
+    /// The receiver's state on which the change builds; 0: this is the whole state.
+    pub since: u64,
+    /// The starts that are new or changed.
+    pub list: Vec<Wanted>,
+    /// The starts no longer wanted, by machine.
+    pub dropped: Vec<(String, TaskKey)>,
+}
+
+/// Home to owner: the sender's machines.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, Default, PartialEq)]
+pub struct Digest {
+    /// Grows with every change of a machine.
+    pub seq: u64,
+    /// The receiver's state on which the change builds; 0: this is the whole state.
+    pub since: u64,
+    /// The receiver's latest `rev` that this state takes account of.
+    pub rev_seen: u64,
+    /// The machines that changed.
+    pub machines: Vec<MachineDigest>,
+}
+
 /// The body of a frame.
 #[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub enum Message {
-    /// Owner to home: all that the sender wants on the receiver's machines.
-    Wanted {
-        /// Grows with every such message.
-        rev: u64,
-        /// The starts.
-        list: Vec<Wanted>,
-    },
-    /// Home to owner: all the sender's machines.
-    Digest {
-        /// Grows with every such message.
-        seq: u64,
-        /// The receiver's latest `rev` that this state takes account of.
-        rev_seen: u64,
-        /// The machines.
-        machines: Vec<MachineDigest>,
-    },
+    /// Between owners and homes, in both directions.
+    State(Wishes, Digest),
     /// Owner to decider: what can't be placed, and shapes of jobs seen of late (count 0).
     Demands(Vec<Demand>),
     /// Owner to owners: machines kept for its waiting work.
@@ -307,6 +319,8 @@
     pub echo: Micros,
     /// Which process of the receiver that reading came from: a restarted one may count anew.
     pub echo_boot: u64,
+    /// The `seq` of the receiver's digest that the sender holds in this epoch; 0: none yet.
+    pub digest_seen: u64,
     /// The rest.
     pub body: Message,
 }
@@ -436,27 +450,32 @@
             boot: 1,
             echo: Micros(4),
             echo_boot: 2,
-            body: Message::Digest {
-                seq: 2,
-                rev_seen: 1,
-                machines: vec![MachineDigest {
-                    name: "i-1".into(),
-                    kind: "k".into(),
-                    zone: "z".into(),
-                    spot: true,
-                    standing: Standing::Known,
-                    open: true,
-                    notice: None,
-                    free: Room::need(1.0, 0.0, 2.0),
-                    total: Room::need(2.0, 0.0, 4.0),
-                    by_priority: vec![(1, Room::need(1.0, 0.0, 2.0))],
-                    images: vec![7],
-                    busy: 1,
-                    idle: Micros(0),
-                    silent: Micros(1),
-                    tasks: vec![Actual { key, phase: Phase::Exited(Exit::Stopped(true)) }],
-                }],
-            },
+            digest_seen: 3,
+            body: Message::State(
+                Wishes::default(),
+                Digest {
+                    seq: 2,
+                    since: 1,
+                    rev_seen: 1,
+                    machines: vec![MachineDigest {
+                        name: "i-1".into(),
+                        kind: "k".into(),
+                        zone: "z".into(),
+                        spot: true,
+                        standing: Standing::Known,
+                        open: true,
+                        notice: None,
+                        free: Room::need(1.0, 0.0, 2.0),
+                        total: Room::need(2.0, 0.0, 4.0),
+                        by_priority: vec![(1, Room::need(1.0, 0.0, 2.0))],
+                        images: vec![7],
+                        busy: 1,
+                        idle: Some(Micros(0)),
+                        silent: None,
+                        tasks: vec![Actual { key, phase: Phase::Exited(Exit::Stopped(true)) }],
+                    }],
+                },
+            ),
         };
         let bytes = f.encode().unwrap();
         assert_eq!(Frame::decode(&bytes[4..]), Some(f));
