Walk only leftovers that matter to placing; take users' requests before reports

Cause: completed tasks that wait for their record were walked for every job at each pass (memcmp of names was 18% of samples), and each digest copied the names of all tasks on a machine. In the queue users and probes stood behind hundreds of reports.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -49,7 +49,12 @@
     let _ = request.respond(response);
 }
 
-fn reader(server: Arc<tiny_http::Server>, tickets: Arc<AtomicU64>, tx: Sender<Inbound>) {
+fn reader(
+    server: Arc<tiny_http::Server>,
+    tickets: Arc<AtomicU64>,
+    tx: Sender<Inbound>,
+    first: Sender<Inbound>,
+) {
     loop {
         let mut request = match server.recv() {
             Ok(r) => r,
@@ -65,6 +70,7 @@
         match api::parse(ticket, &method, &url, |limit| api::body(request.as_reader(), limit)) {
             Parsed::Answer(r) => answer(request, r),
             Parsed::Event(e) => {
+                let tx = if matches!(e, Event::Report(..)) { &tx } else { &first };
                 if tx.len() >= QUEUE {
                     answer(request, Reply::later("overloaded"));
                 } else if tx.send(Inbound::Request(ticket, request, e)).is_err() {
@@ -79,6 +85,9 @@
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
     let start = Instant::now();
     let (tx, rx): (Sender<Inbound>, Receiver<Inbound>) = unbounded();
+    // Users' requests and the answers that they wait for go before reports: after a restart
+    // hundreds of workers come back at once, and a probe that waits behind them fails.
+    let (first_tx, first_rx): (Sender<Inbound>, Receiver<Inbound>) = unbounded();
 
     let frames = tx.clone();
     peer::listen(settings.back, move |f: Frame| {
@@ -91,8 +100,9 @@
     let server = Arc::new(server);
     let tickets = Arc::new(AtomicU64::new(1));
     for _ in 0..READERS {
-        let (server, tickets, tx) = (server.clone(), tickets.clone(), tx.clone());
-        std::thread::spawn(move || reader(server, tickets, tx));
+        let (server, tickets) = (server.clone(), tickets.clone());
+        let (tx, first) = (tx.clone(), first_tx.clone());
+        std::thread::spawn(move || reader(server, tickets, tx, first));
     }
 
     let links: HashMap<usize, Sender<Frame>> = settings
@@ -108,7 +118,7 @@
     let (ring_tx, ring_rx) = unbounded::<(u64, StoreRequest)>();
     let lines = std::iter::repeat_n(store_rx, STORE_THREADS).chain(std::iter::once(ring_rx));
     for line in lines {
-        let (tx, addr) = (tx.clone(), settings.state);
+        let (tx, addr) = (first_tx.clone(), settings.state);
         std::thread::spawn(move || {
             let client = StoreClient::new(addr, Duration::from_millis(2000));
             while let Ok((id, r)) = line.recv() {
@@ -141,7 +151,13 @@
     let clock = || Micros(1_000_000 + start.elapsed().as_micros() as u64);
     let wall = || Micros(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64));
     loop {
-        let mut next = rx.recv_timeout(Duration::from_millis(100)).ok();
+        let mut next = first_rx.try_recv().ok().or_else(|| {
+            crossbeam_channel::select! {
+                recv(first_rx) -> e => e.ok(),
+                recv(rx) -> e => e.ok(),
+                default(Duration::from_millis(100)) => None,
+            }
+        });
         let mut taken = 0;
         while let Some(inbound) = next {
             let event = match inbound {
@@ -153,7 +169,7 @@
             };
             node.step(clock(), wall(), event, &mut out);
             taken += 1;
-            next = if taken < BATCH { rx.try_recv().ok() } else { None };
+            next = if taken < BATCH { first_rx.try_recv().or_else(|_| rx.try_recv()).ok() } else { None };
         }
         node.reconcile(clock(), wall(), &mut out);
         for effect in out.drain(..) {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,7 +1,7 @@
 //! The owner side of jobs: records, where each task stands, starts and stops, gangs, takeover.
 
 use crate::peer::{
-    Demand, Digest, Exit, MachineDigest, Phase, Reservation, Standing, TaskKey, Want, Wanted, Wishes,
+    Actual, Demand, Digest, Exit, MachineDigest, Phase, Reservation, Standing, TaskKey, Want, Wanted, Wishes,
 };
 use crate::placement::{self, Place, ZoneCounts};
 use crate::ring::Membership;
@@ -86,7 +86,6 @@
 struct Leftover {
     room: Room,
     priority: u8,
-    zone: String,
     want: Want,
     alive: bool,
     /// It completed: the worker may forget it once that is on record.
@@ -94,6 +93,8 @@
     asked: u64,
 }
 
+/// A job's leftovers by task, machine and attempt: whether each is alive, and its zone.
+type OpenLeft = BTreeMap<(u32, String, u64), (bool, String)>;
 /// A start on a machine.
 type Key = (String, TaskKey);
 /// Stands for the number of a message that has not gone out yet.
@@ -117,6 +118,9 @@
     finals: BTreeMap<String, (Final, u32)>,
     finals_order: VecDeque<String>,
     leftovers: BTreeMap<(String, u32, String, u64), Leftover>,
+    /// Per job, the leftovers that still matter to placing: those alive, with their zone, and those
+    /// that ended without completing. Completed ones wait in hundreds for their record.
+    open_left: BTreeMap<String, OpenLeft>,
     /// The leftovers of each machine, by job, task and attempt.
     left_on: BTreeMap<String, BTreeSet<(String, u32, u64)>>,
     by_machine: BTreeMap<String, BTreeSet<(String, u32)>>,
@@ -166,6 +170,7 @@
             finals: BTreeMap::new(),
             finals_order: VecDeque::new(),
             leftovers: BTreeMap::new(),
+            open_left: BTreeMap::new(),
             left_on: BTreeMap::new(),
             by_machine: BTreeMap::new(),
             views: (0..n).map(|_| View::default()).collect(),
@@ -214,6 +219,7 @@
         }
         self.by_machine.retain(|_, s| !s.is_empty());
         self.left_on.clear();
+        self.open_left.retain(|id, _| follows && m.job_owner(id) == Some(m.me));
         for (id, idx, machine, attempt) in self.leftovers.keys() {
             self.left_on.entry(machine.clone()).or_default().insert((id.clone(), *idx, *attempt));
         }
@@ -358,8 +364,12 @@
     fn leave(&mut self, id: &str, idx: u32, p: &Placed, room: Room, want: Want, alive: bool, done: bool) {
         let key = (id.to_owned(), idx, p.machine.clone(), p.attempt);
         let priority = self.jobs.get(id).map_or(0, |j| j.spec.priority);
-        let left = Leftover { room, priority, zone: p.zone.clone(), want, alive, done, asked: UNSENT };
+        let left = Leftover { room, priority, want, alive, done, asked: UNSENT };
         self.leftovers.insert(key, left);
+        if alive || !done {
+            let open = self.open_left.entry(id.to_owned()).or_default();
+            open.insert((idx, p.machine.clone(), p.attempt), (alive, p.zone.clone()));
+        }
         self.left_on.entry(p.machine.clone()).or_default().insert((id.to_owned(), idx, p.attempt));
         touch(&mut self.touched, &p.machine, id, idx, p.attempt);
     }
@@ -374,10 +384,20 @@
                 self.left_on.remove(&k.2);
             }
         }
+        self.close_leftover(k);
         touch(&mut self.touched, &k.2, &k.0, k.1, k.3);
         self.replan = true;
     }
 
+    fn close_leftover(&mut self, k: &(String, u32, String, u64)) {
+        if let Some(open) = self.open_left.get_mut(&k.0) {
+            open.remove(&(k.1, k.2.clone(), k.3));
+            if open.is_empty() {
+                self.open_left.remove(&k.0);
+            }
+        }
+    }
+
     /// What a user sees of a live job: whether a task runs, and how many are done and run.
     pub fn stance(&self, id: &str) -> Option<(&'static str, u32, u32)> {
         let j = self.jobs.get(id)?;
@@ -459,38 +479,51 @@
         if names.is_empty() {
             return false;
         }
-        for name in names {
-            self.machine_news(now, m, from, &name);
+        let views = std::mem::take(&mut self.views);
+        if let Some(view) = views.get(from) {
+            // A machine has one home, and only that one can tell about it.
+            for name in names.iter().filter(|n| m.home(n) == Some(from)) {
+                self.machine_news(now, m, view, name);
+            }
         }
+        self.views = views;
         self.settle();
         self.replan = true;
         true
     }
 
-    fn machine_news(&mut self, now: Micros, m: &Membership, from: usize, name: &str) {
-        let view = &self.views[from];
+    fn machine_news(&mut self, now: Micros, m: &Membership, view: &View, name: &str) {
         let rev_seen = view.rev_seen(m.epoch);
         // A home that has read the records names every machine that was ever given a task; one
         // that it doesn't name is gone.
-        let (standing, tasks, zone) = match view.machines(m.epoch).and_then(|v| v.get(name)) {
-            None => (Standing::Gone, Vec::new(), String::new()),
-            Some(d) => (d.standing, d.tasks.clone(), d.zone.clone()),
+        let seen = view.machines(m.epoch).and_then(|v| v.get(name));
+        let standing = seen.map_or(Standing::Gone, |d| d.standing);
+        let tasks: &[Actual] = seen.map_or(&[], |d| &d.tasks);
+        let listed = |job: &str, index: u32, attempt: u64| {
+            let here = |a: &&Actual| a.key.index == index && a.key.attempt == attempt && a.key.job == job;
+            tasks.iter().find(here).map(|a| a.phase)
         };
-        let listed: BTreeMap<(&str, u32, u64), Phase> =
-            tasks.iter().map(|a| ((a.key.job.as_str(), a.key.index, a.key.attempt), a.phase)).collect();
-        let current: Vec<(String, u32)> =
-            self.by_machine.get(name).map(|s| s.iter().cloned().collect()).unwrap_or_default();
-        for (id, idx) in current {
-            let Some(p) = self.jobs.get(&id).and_then(|j| j.placed.get(&idx)) else { continue };
-            match listed.get(&(id.as_str(), idx, p.attempt)) {
-                Some(&phase) => self.task_news(now, &id, idx, phase),
-                None if standing == Standing::Gone => self.lost(now, &id, idx, "machine gone"),
+        // Most tasks are where they were: only the others are worth a copy of their names.
+        let news = |id: &str, idx: u32| {
+            let p = self.jobs.get(id)?.placed.get(&idx)?;
+            match listed(id, idx, p.attempt) {
+                Some(phase) if p.phase == Some(phase) => None,
+                Some(phase) => Some(Ok(phase)),
+                None if standing == Standing::Gone => Some(Err("machine gone")),
                 None if standing == Standing::Known && p.asked <= rev_seen => {
-                    let why =
-                        if p.phase.is_some_and(|x| x != Phase::Held) { "no longer there" } else { "refused" };
-                    self.lost(now, &id, idx, why);
+                    let was = p.phase.is_some_and(|x| x != Phase::Held);
+                    Some(Err(if was { "no longer there" } else { "refused" }))
                 }
-                None => {}
+                None => None,
+            }
+        };
+        let current = self.by_machine.get(name).into_iter().flatten();
+        let current: Vec<(String, u32, Result<Phase, &str>)> =
+            current.filter_map(|(id, idx)| Some((id.clone(), *idx, news(id, *idx)?))).collect();
+        for (id, idx, what) in current {
+            match what {
+                Ok(phase) => self.task_news(now, &id, idx, phase),
+                Err(why) => self.lost(now, &id, idx, why),
             }
         }
         let old: Vec<(String, u32, String, u64)> = self
@@ -501,8 +534,8 @@
             .map(|(id, idx, attempt)| (id.clone(), *idx, name.to_owned(), *attempt))
             .collect();
         for k in old {
-            match listed.get(&(k.0.as_str(), k.1, k.3)) {
-                Some(&phase) => {
+            match listed(&k.0, k.1, k.3) {
+                Some(phase) => {
                     let ended = !self.jobs.contains_key(&k.0);
                     let durable = ended || self.jobs.get(&k.0).is_some_and(|j| j.durable.contains(k.1));
                     let mut finished = false;
@@ -522,7 +555,13 @@
                         }
                     }
                     if finished {
+                        self.close_leftover(&k);
                         self.complete(&k.0, k.1);
+                    } else if let Phase::Exited(_) = phase
+                        && let Some(open) = self.open_left.get_mut(&k.0)
+                        && let Some((alive, _)) = open.get_mut(&(k.1, k.2.clone(), k.3))
+                    {
+                        *alive = false;
                     }
                 }
                 None if standing == Standing::Gone
@@ -535,20 +574,20 @@
             }
         }
         // Starts that we don't know of: taken over with the job, or left by one that has ended.
-        for a in &tasks {
+        for a in tasks {
             let k = &a.key;
             let known = self
                 .jobs
                 .get(&k.job)
                 .and_then(|j| j.placed.get(&k.index))
                 .is_some_and(|p| p.attempt == k.attempt && p.machine == name);
-            let key = (k.job.clone(), k.index, name.to_owned(), k.attempt);
-            if known || self.leftovers.contains_key(&key) {
+            let left = |s: &BTreeSet<(String, u32, u64)>| s.contains(&(k.job.clone(), k.index, k.attempt));
+            if known || self.left_on.get(name).is_some_and(left) {
                 continue;
             }
             let p = Placed {
                 machine: name.to_owned(),
-                zone: zone.clone(),
+                zone: seen.map(|d| d.zone.clone()).unwrap_or_default(),
                 attempt: k.attempt,
                 want: Want::Keep,
                 asked: UNSENT,
@@ -759,14 +798,11 @@
     }
 
     fn alive_leftover(&self, id: &str) -> bool {
-        self.leftovers_of(id).any(|(_, l)| l.alive)
+        self.open_of(id).any(|(_, (alive, _))| *alive)
     }
 
-    fn leftovers_of<'a>(
-        &'a self,
-        id: &'a str,
-    ) -> impl Iterator<Item = (&'a (String, u32, String, u64), &'a Leftover)> {
-        self.leftovers.range((id.to_owned(), 0, String::new(), 0)..).take_while(move |(k, _)| k.0 == id)
+    fn open_of(&self, id: &str) -> impl Iterator<Item = (&(u32, String, u64), &(bool, String))> {
+        self.open_left.get(id).into_iter().flatten()
     }
 
     /// Jobs in the order in which they get room: by priority, then by age.
@@ -777,7 +813,7 @@
     }
 
     fn in_use(&self, id: &str, j: &Job) -> Room {
-        let left = self.leftovers_of(id).filter(|(_, l)| l.alive).count();
+        let left = self.open_of(id).filter(|(_, (alive, _))| *alive).count();
         Room { memory: 0, ..j.spec.room.times((j.placed.len() + left) as i64) }
     }
 
@@ -943,13 +979,16 @@
         let taken: BTreeSet<String> = self.foreign(now).map(|r| r.machine.clone()).collect();
         self.shapes.retain(|(_, t)| now.since(*t) < Micros::from_millis(300_000));
         for id in self.order() {
-            let Some(spec) = self.jobs.get(&id).map(|j| j.spec.clone()) else { continue };
-            self.note_shape(now, &spec);
             let Some(j) = self.jobs.get(&id) else { continue };
-            let age = wall.since(j.accepted_wall);
-            if !j.settled || now < j.not_before || j.done.len() == j.spec.tasks {
+            // Most jobs have all their tasks placed: they cost a look.
+            let placed = j.done.len() as usize + j.placed.len();
+            if !j.settled || now < j.not_before || placed >= j.spec.tasks as usize {
                 continue;
             }
+            let spec = j.spec.clone();
+            self.note_shape(now, &spec);
+            let Some(j) = self.jobs.get(&id) else { continue };
+            let age = wall.since(j.accepted_wall);
             let one = j.spec.room;
             let claim = teams.claim(&j.spec.team, &id);
             let in_use = self.in_use(&id, j);
@@ -959,18 +998,13 @@
                 *counts.entry(p.zone.clone()).or_default() += 1;
             }
             let mut still_there = BTreeSet::new();
-            for (k, l) in self.leftovers_of(&id) {
-                if l.alive {
-                    *counts.entry(l.zone.clone()).or_default() += 1;
-                    still_there.insert(k.1);
-                }
+            for (k, (_, zone)) in self.open_of(&id).filter(|(_, (alive, _))| *alive) {
+                *counts.entry(zone.clone()).or_default() += 1;
+                still_there.insert(k.0);
             }
             // A machine that still has an old start of the job would refuse the task.
-            let old: BTreeSet<&str> = self
-                .leftovers_of(&id)
-                .filter(|(k, _)| !j.done.contains(k.1))
-                .map(|(k, _)| k.2.as_str())
-                .collect();
+            let old: BTreeSet<&str> =
+                self.open_of(&id).filter(|(k, _)| !j.done.contains(k.0)).map(|(k, _)| k.1.as_str()).collect();
             let mut starts: Vec<(u32, usize)> = Vec::new();
             let mut unplaced = 0u32;
             let mut keeps = Vec::new();
@@ -981,7 +1015,12 @@
                 if claim_left.count_of(one) < i64::from(j.spec.tasks) {
                     continue;
                 }
-                match placement::gang(&j.spec, &places, &counts, |p| !old.contains(p.name.as_str())) {
+                let hopeless = full.iter().any(|f| {
+                    f.kind == Kind::Gang && f.tasks <= j.spec.tasks && placement::no_easier(&j.spec, f)
+                });
+                let at = (!hopeless)
+                    .then(|| placement::gang(&j.spec, &places, &counts, |p| !old.contains(p.name.as_str())));
+                match at.flatten() {
                     Some(at) => {
                         for (i, &pl) in at.iter().enumerate() {
                             places[pl].free = places[pl].free - one;
@@ -990,6 +1029,9 @@
                     }
                     None => {
                         unplaced = j.spec.tasks;
+                        if !hopeless && old.is_empty() && !j.spec.spread {
+                            full.push(j.spec.clone());
+                        }
                         let evict = age >= self.patience(&j.spec);
                         // One gang at a time, and not where another owner's waits: several that
                         // each empty a few machines get nowhere and keep all others out.
@@ -1018,7 +1060,7 @@
                     .filter(|idx| !j.placed.contains_key(idx) && !still_there.contains(idx))
                     .take(allowed.min(budget))
                     .collect();
-                let hopeless = full.iter().any(|f| placement::no_easier(&j.spec, f));
+                let hopeless = full.iter().any(|f| f.kind != Kind::Gang && placement::no_easier(&j.spec, f));
                 let at = if hopeless || next.is_empty() {
                     Vec::new()
                 } else {
@@ -1307,17 +1349,16 @@
     let best = zones
         .into_values()
         .filter(|at| at.len() >= s.tasks as usize)
-        .map(|mut at| {
-            at.sort_by_key(|&i| {
-                (
-                    !before.contains(&places[i].machine.name),
-                    std::cmp::Reverse(places[i].free.cpus.min(s.room.cpus)),
-                )
-            });
+        .map(|at| {
+            let key = |&i: &usize| {
+                (!before.contains(&places[i].machine.name), -places[i].free.cpus.min(s.room.cpus), i)
+            };
+            let mut at: Vec<(bool, i64, usize)> = at.iter().map(key).collect();
+            at.sort_unstable();
             at.truncate(s.tasks as usize);
-            let kept = at.iter().filter(|&&i| before.contains(&places[i].machine.name)).count();
-            let free: i64 = at.iter().map(|&i| places[i].free.cpus.min(s.room.cpus)).sum();
-            (kept, free, at)
+            let kept = at.iter().filter(|(new, ..)| !new).count();
+            let free: i64 = at.iter().map(|(_, missing, _)| -missing).sum();
+            (kept, free, at.into_iter().map(|(.., i)| i).collect::<Vec<_>>())
         })
         .max_by_key(|(kept, free, _)| (*kept, *free));
     let Some((_, _, at)) = best else { return Vec::new() };
@@ -1396,7 +1437,7 @@
             owner.plan(now, now, &m, &teams);
             let Wishes { rev, list: wanted, .. } = owner.wanted(0, &m);
             assert_eq!(wanted[0].want, Want::Run);
-            machine.tasks = vec![crate::peer::Actual { key: wanted[0].key.clone(), phase: Phase::Running }];
+            machine.tasks = vec![Actual { key: wanted[0].key.clone(), phase: Phase::Running }];
             machine.notice = Some(Micros::from_millis(9000));
             owner.digest(now, &m, 0, whole(&m, 2, rev, vec![machine]));
             owner.make_room(now, &m, &teams);
@@ -1406,8 +1447,8 @@
         }
     }
 
-    fn running(key: &TaskKey) -> crate::peer::Actual {
-        crate::peer::Actual { key: key.clone(), phase: Phase::Running }
+    fn running(key: &TaskKey) -> Actual {
+        Actual { key: key.clone(), phase: Phase::Running }
     }
 
     #[test]
@@ -1449,7 +1490,7 @@
         owner.digest(now, &m, 0, whole(&m, 1, 0, vec![machine.clone()]));
         owner.plan(now, now, &m, &teams);
         let Wishes { rev, list: wanted, .. } = owner.wanted(0, &m);
-        let done = crate::peer::Actual { key: wanted[0].key.clone(), phase: Phase::Exited(Exit::Done) };
+        let done = Actual { key: wanted[0].key.clone(), phase: Phase::Exited(Exit::Done) };
         machine.tasks = vec![done, running(&wanted[1].key)];
         let want_of = |owner: &mut Owner| {
             let list = owner.wanted(0, &m).list;
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -32,7 +32,20 @@
     }
     /// The controller clockwise of this key's hash.
     pub fn owner(&self, key: &str) -> Option<usize> {
-        let h = hash(key);
+        self.clockwise(hash(key))
+    }
+    /// The same for a key made of a class and a name; it is asked for each task of each message.
+    fn owner_of(&self, class: &str, name: &str) -> Option<usize> {
+        let mut key = [0u8; 64];
+        let (a, n) = (class.len(), class.len() + name.len());
+        if n > key.len() {
+            return self.owner(&format!("{class}{name}"));
+        }
+        key[..a].copy_from_slice(class.as_bytes());
+        key[a..n].copy_from_slice(name.as_bytes());
+        self.clockwise(XxHash64::oneshot(0, &key[..n]))
+    }
+    fn clockwise(&self, h: u64) -> Option<usize> {
         let at = self.points.partition_point(|&(p, _)| p < h);
         self.points.get(at).or(self.points.first()).map(|&(_, m)| m)
     }
@@ -173,11 +186,11 @@
     }
     /// Whom to pass a user's request to.
     pub fn pass_job_to(&self, id: &str) -> Option<usize> {
-        self.newest().owner(&format!("job/{id}"))
+        self.newest().owner_of("job/", id)
     }
     /// Whom to send a machine's worker to.
     pub fn pass_machine_to(&self, machine: &str) -> Option<usize> {
-        self.newest().owner(&format!("machine/{machine}"))
+        self.newest().owner_of("machine/", machine)
     }
 
     /// Whether this controller may answer and command: by the store's word, or, when the store
@@ -216,11 +229,11 @@
 
     /// The owner of a job.
     pub fn job_owner(&self, id: &str) -> Option<usize> {
-        self.ring.owner(&format!("job/{id}"))
+        self.ring.owner_of("job/", id)
     }
     /// The home of a machine.
     pub fn home(&self, machine: &str) -> Option<usize> {
-        self.ring.owner(&format!("machine/{machine}"))
+        self.ring.owner_of("machine/", machine)
     }
     /// Who rents and returns machines.
     pub fn decider(&self) -> Option<usize> {
