--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -16,6 +16,13 @@
 const RENT_LIMIT: u32 = 50;
 /// Most names in one return.
 const RETURN_LIMIT: usize = 100;
+/// One in so many of the machines that would do is left to urgent gangs at the most.
+const RESERVED_PART: usize = 6;
+
+/// How many machines gangs of this shape should find at hand: two may come at a time.
+fn at_hand(d: &Demand) -> usize {
+    d.together as usize * 2
+}
 
 /// A request to the cloud.
 #[derive(Clone, Debug, PartialEq)]
@@ -197,6 +204,11 @@
     acting_since: Option<Micros>,
     /// Types, and whether spot, left to work of at least a priority.
     pub kept: Vec<(String, bool, u8)>,
+    /// Machines left to work of at least a priority: room that comes together for gangs of large
+    /// tasks while small ones fill the rest.
+    pub reserve: BTreeMap<String, u8>,
+    /// Kept types, and from how many machines on they are kept no more as a whole.
+    enough: BTreeMap<(String, bool), usize>,
     /// Whether `kept` rests on the word of all owners.
     pub steers: bool,
     /// What queueable work was like of late: a task's room and run time, and how long it may queue.
@@ -233,6 +245,8 @@
             gone: BTreeMap::new(),
             acting_since: None,
             kept: Vec::new(),
+            reserve: BTreeMap::new(),
+            enough: BTreeMap::new(),
             steers: false,
             usual: None,
             spare: BTreeSet::new(),
@@ -413,7 +427,9 @@
             let boot = self.boot_time(&d.kind).0;
             let patience = if self.guarantees && !quiet {
                 Micros::from_millis(900_000)
-            } else if self.kept.iter().any(|(k, spot, _)| *k == d.kind && *spot == d.spot) {
+            } else if self.reserve.contains_key(&d.name)
+                || self.kept.iter().any(|(k, spot, _)| *k == d.kind && *spot == d.spot)
+            {
                 Micros(boot * 5 / 4)
             } else {
                 Micros(boot * 3 / 4)
@@ -464,6 +480,7 @@
         };
         let lowest = shapes.iter().map(|d| d.priority).min().unwrap_or(0);
         let mut kept = Vec::new();
+        let mut enough: BTreeMap<(String, bool), usize> = BTreeMap::new();
         for d in shapes.iter().filter(|d| d.priority > lowest) {
             let only: Vec<&(String, bool)> = options.iter().filter(|o| fits(d, o)).collect();
             let part: i64 = machines
@@ -480,6 +497,14 @@
                 && options.len() > 2
             {
                 for (kind, spot) in only {
+                    // Enough of them to leave a part is enough for all.
+                    let there =
+                        machines.iter().filter(|x| x.open && x.kind == *kind && x.spot == *spot).count();
+                    let enough = enough.entry((kind.clone(), *spot)).or_default();
+                    *enough = (*enough).max(at_hand(d) * 3);
+                    if there >= *enough {
+                        continue;
+                    }
                     if !kept.contains(&(kind.clone(), *spot, d.priority)) {
                         kept.push((kind.clone(), *spot, d.priority));
                     }
@@ -495,6 +520,49 @@
             }
         }
         self.kept = kept;
+        self.enough = enough;
+        self.reserve = self.reserved(&shapes, lowest, machines);
+    }
+
+    /// Machines to leave to gangs whose tasks take most of a machine: for the two largest of late at
+    /// the most, in one zone if they ask for that, and never more than a small part of those that
+    /// would do. The same ones as before as long as they serve, then those that are emptiest.
+    fn reserved(&self, shapes: &[Demand], lowest: u8, machines: &[&Seen]) -> BTreeMap<String, u8> {
+        let mut out: BTreeMap<String, u8> = BTreeMap::new();
+        for d in shapes.iter().filter(|d| d.priority > lowest && d.together > 1) {
+            let fits: Vec<&&Seen> = machines
+                .iter()
+                .filter(|x| {
+                    x.open
+                        && x.spot <= d.spot
+                        && (d.kinds.is_empty() || d.kinds.contains(&x.kind))
+                        && d.zone.as_ref().is_none_or(|z| *z == x.zone)
+                        && x.total.count_of(d.room) == 1
+                })
+                .collect();
+            let n = at_hand(d).min(fits.len() / RESERVED_PART);
+            let mut zones: BTreeMap<&str, Vec<(bool, i64, &str)>> = BTreeMap::new();
+            for x in fits {
+                let lower = x.by_priority.iter().filter(|(p, _)| *p < d.priority);
+                let could = lower.fold(x.free, |a, (_, r)| a + *r).holds(d.room);
+                if could && !self.drain.contains(&x.name) && !out.contains_key(&x.name) {
+                    let zone = if d.one_zone { x.zone.as_str() } else { "" };
+                    let new = !self.reserve.contains_key(&x.name);
+                    zones.entry(zone).or_default().push((new, -x.free.cpus, &x.name));
+                }
+            }
+            let best = zones.into_values().map(|mut at| {
+                at.sort_unstable();
+                at.truncate(n);
+                let kept = at.iter().filter(|(new, ..)| !new).count();
+                let free: i64 = at.iter().map(|(_, missing, _)| -missing).sum();
+                (kept, free, at)
+            });
+            if let Some((.., at)) = best.max_by_key(|(kept, free, _)| (*kept, *free)) {
+                out.extend(at.into_iter().map(|(_, _, name)| (name.to_owned(), d.priority)));
+            }
+        }
+        out
     }
 
     /// Empties the dearest machine when the rest of the fleet gets through the queue in a small part
@@ -512,7 +580,9 @@
             return;
         }
         let for_queue = |d: &&&Seen| {
-            d.standing == Standing::Known && !self.kept.iter().any(|(k, s, _)| *k == d.kind && *s == d.spot)
+            d.standing == Standing::Known
+                && !self.reserve.contains_key(&d.name)
+                && !self.kept.iter().any(|(k, s, _)| *k == d.kind && *s == d.spot)
         };
         let slots = |d: &Seen| d.total.count_of(room).clamp(0, 10_000);
         let all: Vec<&&Seen> = machines.values().filter(|d| for_queue(d) && d.open).collect();
@@ -535,11 +605,12 @@
         // A machine costs a minute at least, so one that is younger is no saving.
         let paid =
             |d: &Seen| self.listed.as_ref().and_then(|l| l.get(&d.name)).is_some_and(|l| l.age_s > 60.0);
-        let dearest = all
-            .iter()
-            .filter(|d| paid(d) && !self.spare.contains(&d.name))
-            .max_by(|a, b| price(a).unwrap_or(0.0).total_cmp(&price(b).unwrap_or(0.0)));
-        let Some(d) = dearest else { return };
+        let mut dearest: Vec<&&Seen> =
+            all.iter().filter(|d| paid(d) && !self.spare.contains(&d.name)).copied().collect();
+        dearest.sort_by(|a, b| {
+            let by_price = price(b).unwrap_or(0.0).total_cmp(&price(a).unwrap_or(0.0));
+            by_price.then(a.busy.cmp(&b.busy))
+        });
         // Every shape of work must still find a machine that it fits.
         let fits = |s: &Demand, x: &Seen| {
             x.spot <= s.spot
@@ -547,13 +618,31 @@
                 && s.zone.as_ref().is_none_or(|z| *z == x.zone)
                 && x.total.holds(s.room)
         };
-        let safe = demands.iter().all(|s| {
-            !fits(s, d) || all.iter().any(|x| x.name != d.name && !self.spare.contains(&x.name) && fits(s, x))
-        });
-        if safe && time(total - slots(d)) < horizon.0 as f64 * 0.3 {
+        let left: Vec<&&Seen> = all.iter().filter(|x| !self.spare.contains(&x.name)).copied().collect();
+        let mut total: i64 = left.iter().map(|d| slots(d)).sum();
+        let mut free: i64 = left.iter().map(|d| d.free.count_of(room).clamp(0, 10_000)).sum();
+        let mut chosen: Vec<&str> = Vec::new();
+        for d in dearest {
+            // One at a time, unless nothing queues and much of the fleet is empty: a large fleet would
+            // idle for minutes after a surge.
+            let surplus = queued <= 0.0 && (free - slots(d)) * 7 > total - slots(d);
+            if chosen.len() >= all.len() / 10 || !(chosen.is_empty() || surplus) {
+                break;
+            }
+            let stays = |x: &&&Seen| x.name != d.name && !chosen.contains(&x.name.as_str());
+            let safe = demands.iter().all(|s| !fits(s, d) || left.iter().any(|x| stays(&x) && fits(s, x)));
+            if !safe || time(total - slots(d)) >= horizon.0 as f64 * 0.3 {
+                break;
+            }
+            total -= slots(d);
+            free -= slots(d);
+            chosen.push(&d.name);
+        }
+        if !chosen.is_empty() {
             self.next_spare = now + Micros::from_millis(3000);
-            tracing::debug!(machine = %d.name, kind = %d.kind, spot = d.spot, "machine is spare");
-            self.spare.insert(d.name.clone());
+            tracing::debug!(machines = ?chosen, "machines are spare");
+            let chosen: Vec<String> = chosen.into_iter().map(str::to_owned).collect();
+            self.spare.extend(chosen);
         }
     }
 
@@ -586,7 +675,7 @@
         }
         let usable: Vec<(String, String, bool, Room)> = machines
             .values()
-            .filter(|d| d.open)
+            .filter(|d| d.open && !self.reserve.contains_key(&d.name))
             .map(|d| (d.kind.clone(), d.zone.clone(), d.spot, d.total))
             .collect();
         let kept = |kind: &str, spot: bool, priority: u8| {
@@ -649,6 +738,15 @@
                             continue;
                         }
                         let count = ((left + each - 1) / each).min(i64::from(RENT_LIMIT)) as u32;
+                        // What is kept from this work is of use to it only once there is enough.
+                        let same = |k: &str, s: bool| k == t.name && s == spot;
+                        let there = usable.iter().filter(|(k, _, s, _)| same(k, *s)).count()
+                            + coming.iter().filter(|(k, _, s, _)| same(k, *s)).count()
+                            + count as usize;
+                        let enough = self.enough.get(&(t.name.clone(), spot)).copied().unwrap_or(0);
+                        if kept(&t.name, spot, d.priority) && there < enough {
+                            continue;
+                        }
                         let price = if spot { t.spot_price } else { t.price };
                         // For a large backlog the price of room counts, for a small one that of
                         // the machines it takes.
@@ -702,6 +800,7 @@
             estimate: Micros(0),
             priority,
             horizon: Micros(0),
+            together: 1,
         }
     }
     fn settings() -> Settings {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -151,6 +151,8 @@
     evicted: BTreeMap<String, Micros>,
     /// Types that the decider leaves to urgent work.
     kept_types: Vec<(String, bool, u8)>,
+    /// The same for single machines.
+    kept_machines: BTreeMap<String, u8>,
     /// Whether this process has had the decider's word on that. Until then nothing is placed: after
     /// a restart queued work would take the machines that urgent work needs.
     steered: bool,
@@ -189,6 +191,7 @@
             others: BTreeMap::new(),
             evicted: BTreeMap::new(),
             kept_types: Vec::new(),
+            kept_machines: BTreeMap::new(),
             steered: false,
             loaded_at: None,
             shapes: Vec::new(),
@@ -774,9 +777,19 @@
             estimate: Micros(0),
             priority: s.priority,
             horizon: Micros(0),
+            together: if s.kind == Kind::Gang { s.tasks } else { 1 },
         };
-        if let Some((_, t)) = self.shapes.iter_mut().find(|(x, _)| *x == d) {
+        // Of each sort the largest: jobs whose tasks differ a little must not crowd out the rest.
+        let alike = |x: &Demand| {
+            (x.priority, x.spot, x.one_zone, x.together > 1)
+                == (d.priority, d.spot, d.one_zone, d.together > 1)
+                && x.kinds == d.kinds
+                && x.zone == d.zone
+        };
+        if let Some((x, t)) = self.shapes.iter_mut().find(|(x, _)| alike(x)) {
             *t = now;
+            x.room = x.room.max(d.room);
+            x.together = x.together.max(d.together);
         } else if self.shapes.len() < 100 {
             self.shapes.push((d, now));
         }
@@ -883,7 +896,11 @@
             out.push(Place {
                 machine: d,
                 free: d.free - unseen.get(d.name.as_str()).copied().unwrap_or_default(),
-                kept_for: of_type.map(|t| t.2).max().max(foreign.get(d.name.as_str()).copied()),
+                kept_for: of_type
+                    .map(|t| t.2)
+                    .max()
+                    .max(foreign.get(d.name.as_str()).copied())
+                    .max(self.kept_machines.get(&d.name).copied()),
             });
         }
         out
@@ -902,9 +919,10 @@
     pub fn reserved(&self) -> &[Reservation] {
         &self.reserved
     }
-    /// The decider's word on types left to urgent work.
-    pub fn keep_types(&mut self, kept: Vec<(String, bool, u8)>) {
-        self.kept_types = kept;
+    /// The decider's word on types and machines left to urgent work.
+    pub fn keep(&mut self, types: Vec<(String, bool, u8)>, machines: Vec<(String, u8)>) {
+        self.kept_types = types;
+        self.kept_machines = machines.into_iter().collect();
         self.steered = true;
     }
 
@@ -1088,6 +1106,7 @@
                     estimate: s.estimate,
                     priority: s.priority,
                     horizon: self.horizon(j, teams.guaranteed(&s.team), age),
+                    together: if s.kind == Kind::Gang { s.tasks } else { 1 },
                 });
             }
             let Some(j) = self.jobs.get_mut(&id) else { continue };
@@ -1404,7 +1423,7 @@
         let mut owner = Owner::new(&s);
         owner.adopt(&m, false);
         owner.load_done(std::iter::empty());
-        owner.keep_types(Vec::new());
+        owner.keep(Vec::new(), Vec::new());
         let spec = Spec::from_value(&raw).expect("valid");
         owner.insert(raw, spec, Micros(1), Ranges::default(), 1, true);
         let room = Room { cpus: 8000, gpus: 0, memory: 9000 };
--- a/src/node.rs
+++ b/src/node.rs
@@ -1121,8 +1121,10 @@
             Message::Reserve(list) if same && from != self.settings.me => {
                 self.owner.others_reserve(now, from, list);
             }
-            Message::Fleet { drain, gone, kept } if same && self.membership.decider() == Some(from) => {
-                self.owner.keep_types(kept);
+            Message::Fleet { drain, gone, kept, kept_machines }
+                if same && self.membership.decider() == Some(from) =>
+            {
+                self.owner.keep(kept, kept_machines);
                 self.home.fleet(&drain.into_iter().collect(), &gone);
             }
             Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
@@ -1191,7 +1193,8 @@
                         let drain = self.fleet.drain.iter().cloned().collect();
                         let kept = self.fleet.kept.clone();
                         let gone = self.fleet.gone();
-                        let f = self.envelope(now, p, Message::Fleet { drain, gone, kept });
+                        let kept_machines = self.fleet.reserve.clone().into_iter().collect();
+                        let f = self.envelope(now, p, Message::Fleet { drain, gone, kept, kept_machines });
                         if p == self.settings.me { own.push(f) } else { out.push(Effect::Send(p, f)) }
                     }
                 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -178,6 +178,8 @@
     pub priority: u8,
     /// How long this work may queue before a machine is worth renting for it.
     pub horizon: Micros,
+    /// How many must run at the same time: a gang's size, otherwise one.
+    pub together: u32,
 }
 
 /// A machine that an owner wants for waiting work: others place nothing of lower priority there.
@@ -236,6 +238,8 @@
         gone: Vec<String>,
         /// Types (and whether spot) left to work of at least a priority, which fits nowhere else.
         kept: Vec<(String, bool, u8)>,
+        /// Machines left to work of at least a priority.
+        kept_machines: Vec<(String, u8)>,
     },
     /// A user's request passed to the owner.
     Ask {
--- a/src/units.rs
+++ b/src/units.rs
@@ -68,6 +68,10 @@
     pub fn holds(self, other: Room) -> bool {
         self.cpus >= other.cpus && self.gpus >= other.gpus && self.memory >= other.memory
     }
+    /// The larger of each.
+    pub fn max(self, o: Room) -> Room {
+        Room { cpus: self.cpus.max(o.cpus), gpus: self.gpus.max(o.gpus), memory: self.memory.max(o.memory) }
+    }
     /// `n` times this.
     pub fn times(self, n: i64) -> Room {
         Room { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
