--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -628,7 +628,7 @@
         for d in dearest {
             // One at a time, unless nothing queues and much of the fleet is empty: a large fleet would
             // idle for minutes after a surge.
-            let surplus = queued <= 0.0 && (free - slots(d)) * 7 > total - slots(d);
+            let surplus = queued <= 0.0 && (free - slots(d)) * 3 > total - slots(d);
             if chosen.len() >= all.len() / 10 || !(chosen.is_empty() || surplus) {
                 break;
             }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -771,7 +771,7 @@
             return Micros(0);
         }
         let within = of("finished").or(j.spec.deadline.map(|d| d.0)).unwrap_or(120_000_000);
-        Micros((within * 3 / 5).saturating_sub(age.0 / 2))
+        Micros((within / 2).saturating_sub(age.0 / 2))
     }
 
     /// How long work may wait before work of lower priority is stopped for it.
@@ -1008,7 +1008,8 @@
         let mut budget = STARTS_A_PASS;
         self.demands.clear();
         self.reserved.clear();
-        let mut keeping = false;
+        let mut keeping = 0;
+        let most = places.len() / 6;
         let taken: BTreeSet<String> = self.foreign(now).map(|r| r.machine.clone()).collect();
         self.shapes.retain(|(_, t)| now.since(*t) < Micros::from_millis(300_000));
         for id in self.order() {
@@ -1066,11 +1067,12 @@
                             full.push(j.spec.clone());
                         }
                         let evict = age >= self.patience(&j.spec);
-                        // One gang at a time, and not where another owner's waits: several that
-                        // each empty a few machines get nowhere and keep all others out.
-                        if !keeping {
+                        // One gang at a time unless the fleet is large, and not where another owner's
+                        // waits: several that each empty a few machines get nowhere and keep all
+                        // others out.
+                        if keeping == 0 || keeping + j.spec.tasks as usize <= most {
                             keeps = keep_places(&mut places, &j.spec, &j.keeps, &taken);
-                            keeping = !keeps.is_empty();
+                            keeping += keeps.len();
                         }
                         // Others are asked to keep away only when it has waited for a while:
                         // what is kept empty serves nobody.
