--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -598,7 +598,7 @@
             .sum();
         let load = queued + busy as f64 * estimate.0 as f64 / 2.0;
         let time = |slots: i64| load / slots.max(1) as f64;
-        if time(total) > horizon.0 as f64 * 0.6 {
+        if time(total) > horizon.0 as f64 {
             self.spare.clear();
         }
         let price = |d: &Seen| {
@@ -634,7 +634,7 @@
             }
             let stays = |x: &Seen| x.name != d.name && !chosen.contains(&x.name.as_str());
             let safe = demands.iter().all(|s| !fits(s, d) || left.iter().any(|x| stays(x) && fits(s, x)));
-            if !safe || time(total - slots(d)) >= horizon.0 as f64 * 0.3 {
+            if !safe || time(total - slots(d)) >= horizon.0 as f64 * 0.5 {
                 break;
             }
             total -= slots(d);
--- /dev/null
+++ b/src/jobs/records.rs
@@ -0,0 +1,85 @@
+//! Jobs' records in the state service: their form, and the changes that are due.
+
+use super::*;
+
+impl Owner {
+    /// Reads a job's record.
+    pub fn read_record(v: &Value) -> Option<(Value, Spec, Micros, Ranges)> {
+        let raw = v.get("spec")?.clone();
+        let spec = Spec::from_value(&raw).ok()?;
+        let accepted = Micros(v.get("accepted_us")?.as_u64()?);
+        let done = Ranges::decode(v.get("done")?.as_str()?, spec.tasks)?;
+        Some((raw, spec, accepted, done))
+    }
+
+    /// A job's record.
+    pub fn record(raw: &Value, accepted: Micros, done: &str) -> Value {
+        json!({"spec": raw, "accepted_us": accepted.0, "done": done})
+    }
+
+    /// The next change of a job's record that is due: ends first, then progress.
+    pub fn next_write(&mut self, now: Micros, ends: bool) -> Option<(String, RecordWrite, u64)> {
+        for (id, j) in &mut self.jobs {
+            if j.writing || j.verify {
+                continue;
+            }
+            if j.ending.is_none() && j.spec.kind != Kind::Service && j.done.len() == j.spec.tasks {
+                j.ending = Some(Final::Done);
+            }
+            if ends {
+                if let Some(f) = j.ending
+                    && now >= j.next_write
+                {
+                    j.writing = true;
+                    let value = json!({"end": if f == Final::Done { "done" } else { "cancelled" }, "done": j.done.len()});
+                    return Some((id.clone(), RecordWrite::End(f, value), j.mark));
+                }
+            } else if j.ending.is_none() && j.done.len() > j.durable.len() && now >= j.next_write {
+                let raw_len = j.raw.to_string().len();
+                let text = j.done.encode(self.value_bytes.saturating_sub(raw_len + 200));
+                let kept = Ranges::decode(&text, j.spec.tasks).unwrap_or_default();
+                if kept == j.durable {
+                    j.next_write = now + Micros::from_millis(5000);
+                    continue;
+                }
+                j.writing = true;
+                let value = Owner::record(&j.raw, j.accepted_wall, &text);
+                return Some((id.clone(), RecordWrite::Progress(value, kept), j.mark));
+            }
+        }
+        None
+    }
+
+    /// Progress is on record: workers may forget those tasks.
+    pub fn progress_written(&mut self, now: Micros, id: &str, kept: Ranges, mark: u64) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        j.writing = false;
+        j.mark = j.mark.max(mark);
+        j.durable = kept;
+        j.next_write = now + Micros::from_millis(4000);
+        let durable = j.durable.clone();
+        for (k, l) in self.leftovers.range_mut((id.to_owned(), 0, String::new(), 0)..) {
+            if k.0 != id {
+                break;
+            }
+            if !l.alive && durable.contains(k.1) && l.want != Want::Forget {
+                l.want = Want::Forget;
+                touch(&mut self.touched, &k.2, &k.0, k.1, k.3);
+            }
+        }
+    }
+
+    /// A change of a record failed; if it may have been applied, its version is read first.
+    pub fn write_failed(&mut self, now: Micros, id: &str, certain: bool) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.writing = false;
+            j.verify = !certain;
+            j.next_write = now + Micros::from_millis(500);
+        }
+    }
+
+    /// A job whose record's version must be read.
+    pub fn next_verify(&self) -> Option<String> {
+        self.jobs.iter().find(|(_, j)| j.verify && !j.writing).map(|(id, _)| id.clone())
+    }
+}
--- /dev/null
+++ b/src/node/links.rs
@@ -0,0 +1,137 @@
+//! Frames from and to peers.
+
+use super::*;
+
+impl Node {
+    pub(super) fn envelope(&self, now: Micros, to: usize, body: Message) -> Frame {
+        let (echo_boot, echo) = self.clocks.get(to).copied().unwrap_or_default();
+        Frame {
+            from: self.settings.me as u32,
+            epoch: self.membership.epoch,
+            members: self.membership.members.iter().map(|&m| m as u32).collect(),
+            clock: now,
+            boot: self.boot,
+            echo,
+            echo_boot,
+            digest_seen: self.owner.digest_seen(to, self.membership.epoch),
+            body,
+        }
+    }
+
+    pub(super) fn frame(&mut self, now: Micros, f: Frame, out: &mut Vec<Effect>) {
+        let from = f.from as usize;
+        if from >= self.settings.members.len() {
+            tracing::error!(from, "a frame from nobody");
+            return;
+        }
+        if from != self.settings.me {
+            self.clocks[from] = (f.boot, f.clock);
+            let echo = if f.echo_boot == self.boot && f.echo <= now { f.echo } else { Micros(0) };
+            self.membership.heard_from(from, f.epoch, echo);
+            self.membership.told(now, f.epoch, &f.members);
+            if f.epoch > self.membership.epoch {
+                self.next_ring = self.next_ring.min(now);
+            }
+        }
+        let same = f.epoch == self.membership.epoch && f.epoch > 0;
+        if same {
+            self.acked[from] = self.acked[from].max(f.digest_seen);
+        }
+        match f.body {
+            Message::State(wishes, digest) if same => {
+                let fleet = &self.fleet;
+                self.home.wanted(now, from, &wishes, &self.membership, |k| fleet.room(k));
+                self.owe_ack[from] |= self.owner.digest(now, &self.membership, from, digest);
+                // What we hold of our own machines needs no frame.
+                if from == self.settings.me {
+                    self.acked[from] = self.owner.digest_seen(from, self.membership.epoch);
+                }
+            }
+            Message::Demands(d) if same => self.fleet.demand(now, from, d),
+            Message::Reserve(list) if same && from != self.settings.me => {
+                self.owner.others_reserve(now, from, list);
+            }
+            Message::Fleet { drain, gone, kept, kept_machines }
+                if same && self.membership.decider() == Some(from) =>
+            {
+                self.owner.keep(kept, kept_machines);
+                self.home.fleet(&drain.into_iter().collect(), &gone);
+            }
+            Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
+            Message::Answer { id, reply } => {
+                if let Some((ticket, _)) = self.asked.remove(&id) {
+                    out.push(Effect::Reply(ticket, reply));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends what peers should know: at once when it changed, and every digest period.
+    pub(super) fn say(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let period = self.settings.digest;
+        let n = self.settings.members.len();
+        let active = self.load == Load::Done && self.membership.epoch > 0;
+        let mut own = Vec::new();
+        if !active {
+            for p in (0..n).filter(|&p| p != self.settings.me) {
+                if now.since(self.sent[p]) >= period {
+                    self.sent[p] = now;
+                    out.push(Effect::Send(p, self.envelope(now, p, Message::Beat)));
+                }
+            }
+            return;
+        }
+        for p in 0..n {
+            // Changes are gathered for a moment: a frame costs more than what it says.
+            let soon = if p == self.settings.me { period.0 / 25 } else { period.0 / 5 };
+            let gap = now.since(self.sent[p]);
+            let news = self.home.seq() > self.sent_seq[p] || self.owe_ack[p];
+            if gap < period && (gap.0 < soon || !(news || self.owner.has_news(p, &self.membership))) {
+                continue;
+            }
+            self.sent[p] = now;
+            self.sent_seq[p] = self.home.seq();
+            self.owe_ack[p] = false;
+            let wishes = match self.membership.members.contains(&p) {
+                true => self.owner.wanted(p, &self.membership),
+                false => Wishes::default(),
+            };
+            let fleet = &self.fleet;
+            let digest = self.home.digest(now, &self.membership, p, self.acked[p], |k| fleet.room(k));
+            let f = self.envelope(now, p, Message::State(wishes, digest));
+            if p == self.settings.me { own.push(f) } else { out.push(Effect::Send(p, f)) }
+        }
+        for f in own.drain(..) {
+            self.frame(now, f, out);
+        }
+        if now.since(self.sent_demands) >= period {
+            self.sent_demands = now;
+            for p in (0..n).filter(|&p| p != self.settings.me) {
+                let list = self.owner.reserved().to_vec();
+                out.push(Effect::Send(p, self.envelope(now, p, Message::Reserve(list))));
+            }
+            if let Some(d) = self.membership.decider() {
+                let f = self.envelope(now, d, Message::Demands(self.owner.demands()));
+                if d == self.settings.me {
+                    own.push(f)
+                } else {
+                    out.push(Effect::Send(d, f))
+                }
+                if d == self.settings.me && self.fleet.steers {
+                    for p in 0..n {
+                        let drain = self.fleet.drain.iter().cloned().collect();
+                        let kept = self.fleet.kept.clone();
+                        let gone = self.fleet.gone();
+                        let kept_machines = self.fleet.reserve.clone().into_iter().collect();
+                        let f = self.envelope(now, p, Message::Fleet { drain, gone, kept, kept_machines });
+                        if p == self.settings.me { own.push(f) } else { out.push(Effect::Send(p, f)) }
+                    }
+                }
+            }
+        }
+        for f in own {
+            self.frame(now, f, out);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/records.rs
@@ -0,0 +1,361 @@
+//! What is read from and written to the state service, within its limits.
+
+use super::*;
+
+impl Node {
+    /// Every change carries this condition: a controller that has been deposed can't write, not
+    /// even by a transaction that is applied late.
+    pub(super) fn fence(&self) -> (String, u64) {
+        (EPOCH_KEY.into(), self.membership.mark)
+    }
+
+    pub(super) fn ask_store(&mut self, p: Purpose, r: StoreRequest, out: &mut Vec<Effect>) {
+        let id = self.fresh_id();
+        let ring = matches!(
+            p,
+            Purpose::Grant
+                | Purpose::Register
+                | Purpose::ReadEpoch(_)
+                | Purpose::ReadMembers(_)
+                | Purpose::Raise(_)
+                | Purpose::Renew(_)
+        );
+        self.in_flight.insert(id, p);
+        out.push(Effect::Store(id, r, ring));
+    }
+
+    pub(super) fn load_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if self.load == Load::Done || self.load_busy || now < self.load_retry || self.membership.epoch == 0 {
+            return;
+        }
+        if !self.requests.take(now, 1.0, 0.0) {
+            return;
+        }
+        self.load_busy = true;
+        let e = self.membership.epoch;
+        let (purpose, prefix) = match self.load {
+            Load::Jobs => (Purpose::LoadJobs(e), "job/"),
+            Load::Machines => (Purpose::LoadMachines(e), roll::PREFIX),
+            _ => (Purpose::LoadTeams(e), "team/"),
+        };
+        let r = StoreRequest::List(prefix.into(), self.load_after.clone());
+        self.ask_store(purpose, r, out);
+    }
+
+    pub(super) fn loaded_page(&mut self, now: Micros, part: Load, rows: Vec<Row>, more: bool) {
+        if let Some(last) = rows.last() {
+            self.load_after = last.key.clone();
+        }
+        for row in rows {
+            match part {
+                Load::Jobs => self.take_job_row(row),
+                Load::Machines => {
+                    let Some(list) = roll::read(&row.value) else {
+                        tracing::error!(key = %row.key, "unreadable page of machines");
+                        continue;
+                    };
+                    self.roll.take(&row.key, &list, row.mark);
+                    for (name, r) in list {
+                        if self.membership.home(&name) == Some(self.settings.me) {
+                            self.home.recorded(now, &name, r);
+                        }
+                        self.machines_on_record.push(name);
+                    }
+                }
+                _ => {
+                    if let Some(team) = row.key.strip_prefix("team/") {
+                        self.teams.take(team, Some((&row.value, row.mark)));
+                    }
+                }
+            }
+        }
+        if more {
+            return;
+        }
+        self.load_after.clear();
+        self.load = match part {
+            Load::Jobs => Load::Machines,
+            Load::Machines => Load::Teams,
+            _ => Load::Done,
+        };
+        if self.load == Load::Done {
+            let names = std::mem::take(&mut self.machines_on_record);
+            self.owner.load_done(names.into_iter());
+            let (jobs, ..) = self.owner.counts();
+            tracing::info!(
+                epoch = self.membership.epoch,
+                jobs,
+                machines = self.owner.unheard(),
+                "records read"
+            );
+        }
+    }
+
+    pub(super) fn take_job_row(&mut self, row: Row) {
+        let Some(id) = row.key.strip_prefix("job/") else { return };
+        if self.membership.job_owner(id) != Some(self.settings.me) {
+            return;
+        }
+        match Owner::read_record(&row.value) {
+            Some((raw, spec, accepted, done)) if spec.id == id => {
+                self.owner.insert(raw, spec, accepted, done, row.mark, false);
+            }
+            _ => tracing::error!(job = id, "unreadable job record"),
+        }
+    }
+
+    pub(super) fn stored(&mut self, now: Micros, p: Purpose, a: StoreAnswer, out: &mut Vec<Effect>) {
+        if let StoreAnswer::Conflict(keys) = &a
+            && keys.iter().any(|k| k == EPOCH_KEY)
+        {
+            self.next_ring = now;
+        }
+        if a == StoreAnswer::Refused {
+            // Over its limits or out of order: a pause costs less than more refusals.
+            self.store_pause = now + Micros::from_millis(200);
+        }
+        match p {
+            Purpose::Grant
+            | Purpose::Register
+            | Purpose::ReadEpoch(_)
+            | Purpose::ReadMembers(_)
+            | Purpose::Raise(_)
+            | Purpose::Renew(_) => {
+                self.ring_answer(now, p, a, out);
+            }
+            Purpose::LoadJobs(e) | Purpose::LoadMachines(e) | Purpose::LoadTeams(e) => {
+                if e != self.membership.epoch {
+                    return;
+                }
+                self.load_busy = false;
+                let part = match p {
+                    Purpose::LoadJobs(_) => Load::Jobs,
+                    Purpose::LoadMachines(_) => Load::Machines,
+                    _ => Load::Teams,
+                };
+                match a {
+                    StoreAnswer::Page(rows, more) => self.loaded_page(now, part, rows, more),
+                    _ => self.load_retry = now + Micros::from_millis(300),
+                }
+            }
+            Purpose::Accept(id, epoch) => self.accepted(now, id, epoch, a, out),
+            Purpose::Record(id, w) => self.recorded(now, &id, w, a, out),
+            Purpose::Verify(id) => match a {
+                StoreAnswer::Got(Some(row)) => {
+                    if let Some(j) = self.owner.jobs.get_mut(&id) {
+                        j.writing = false;
+                    }
+                    self.take_job_row(row);
+                }
+                StoreAnswer::Got(None) => {
+                    self.ask_store(
+                        Purpose::VerifyEnd(id.clone()),
+                        StoreRequest::Get(format!("done/{id}")),
+                        out,
+                    );
+                }
+                _ => self.owner.write_failed(now, &id, false),
+            },
+            Purpose::VerifyEnd(id) => match a {
+                StoreAnswer::Got(Some(row)) => match read_end(&row.value) {
+                    Some((f, _)) => self.end(now, &id, f, out),
+                    None => tracing::error!(job = %id, "unreadable final record"),
+                },
+                _ => self.owner.write_failed(now, &id, false),
+            },
+            Purpose::Lookup(id) => match a {
+                StoreAnswer::Got(Some(row)) => {
+                    self.take_job_row(row);
+                    self.looked_up(now, &id, true, out);
+                }
+                StoreAnswer::Got(None) => {
+                    self.ask_store(
+                        Purpose::LookupEnd(id.clone()),
+                        StoreRequest::Get(format!("done/{id}")),
+                        out,
+                    );
+                }
+                _ => self.looked_up(now, &id, false, out),
+            },
+            Purpose::LookupEnd(id) => match a {
+                StoreAnswer::Got(row) => {
+                    if let Some(row) = row {
+                        match read_end(&row.value) {
+                            Some((f, done)) => self.owner.remember_final(&id, f, done),
+                            None => {
+                                tracing::error!(job = %id, "unreadable final record");
+                                return self.looked_up(now, &id, false, out);
+                            }
+                        }
+                    }
+                    self.looked_up(now, &id, true, out);
+                }
+                _ => self.looked_up(now, &id, false, out),
+            },
+            Purpose::Roll(epoch, w) if epoch == self.membership.epoch => match a {
+                StoreAnswer::Committed(mark) => {
+                    self.roll.written(&w, mark);
+                    for n in &w.names {
+                        self.home.on_record(n);
+                    }
+                }
+                a => self.roll.failed(w.page, a == StoreAnswer::Refused),
+            },
+            Purpose::ReadPage(epoch, page) if epoch == self.membership.epoch => {
+                let mark = match a {
+                    StoreAnswer::Got(row) => Some(row.map_or(0, |r| r.mark)),
+                    _ => None,
+                };
+                self.roll.version(page, mark);
+            }
+            // Of an epoch that has passed: the page has been read again since.
+            Purpose::Roll(..) | Purpose::ReadPage(..) => {}
+            Purpose::Claim(w) => match a {
+                StoreAnswer::Committed(mark) => {
+                    self.teams.committed(w, mark);
+                    self.owner.replan = true;
+                }
+                StoreAnswer::Conflict(_) | StoreAnswer::Refused => self.teams.reread(&w.team, true),
+                _ => self.teams.reread(&w.team, false),
+            },
+            Purpose::ReadTeam(team) => match a {
+                StoreAnswer::Got(row) => self.teams.take(&team, row.as_ref().map(|r| (&r.value, r.mark))),
+                _ => self.teams.reread(&team, false),
+            },
+        }
+    }
+
+    pub(super) fn recorded(
+        &mut self,
+        now: Micros,
+        id: &str,
+        w: RecordWrite,
+        a: StoreAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        match (a, w) {
+            (StoreAnswer::Committed(mark), RecordWrite::Progress(_, kept)) => {
+                self.owner.progress_written(now, id, kept, mark);
+            }
+            (StoreAnswer::Committed(_), RecordWrite::End(f, _)) => self.end(now, id, f, out),
+            (a, w) => {
+                self.owner.write_failed(now, id, a == StoreAnswer::Refused);
+                if matches!(w, RecordWrite::End(..)) {
+                    for o in self.withdrawing.remove(id).unwrap_or_default() {
+                        self.reply(now, o, Reply::later("the job's end could not be put on record"), out);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn team_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now < self.next_team_plan || now < self.store_pause {
+            return;
+        }
+        self.next_team_plan = now + Micros::from_millis(100);
+        let needs = self.owner.needs(&self.teams);
+        for team in self.teams.reads(now, &needs) {
+            self.ask_store(Purpose::ReadTeam(team.clone()), StoreRequest::Get(format!("team/{team}")), out);
+        }
+        let none = Vec::new();
+        for team in self.teams.names() {
+            let m = &self.membership;
+            let me = self.settings.me;
+            let list = needs.get(&team).unwrap_or(&none);
+            let w = self.teams.plan(
+                now,
+                &team,
+                list,
+                |j| m.job_owner(j) == Some(me),
+                |j| self.owner.released(j),
+                self.settings.value_bytes,
+            );
+            let Some(w) = w else { continue };
+            if !self.writes.take(now, 1.0, 0.3) {
+                break;
+            }
+            self.teams.sent(now, &w);
+            let c = Commit {
+                conditions: vec![self.fence(), (format!("team/{team}"), w.mark)],
+                puts: vec![(format!("team/{team}"), w.value.clone(), None)],
+                drops: Vec::new(),
+            };
+            self.ask_store(Purpose::Claim(w), StoreRequest::Commit(c), out);
+        }
+    }
+
+    pub(super) fn record_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now < self.store_pause || self.in_flight.len() > IN_FLIGHT {
+            return;
+        }
+        while let Some(id) = self.owner.next_verify() {
+            if !self.requests.take(now, 2.0, 0.2) {
+                break;
+            }
+            if let Some(j) = self.owner.jobs.get_mut(&id) {
+                j.writing = true;
+            }
+            self.ask_store(Purpose::Verify(id.clone()), StoreRequest::Get(format!("job/{id}")), out);
+        }
+        // The budget holds a second's worth and no more. It is kept nearly full, which costs no
+        // throughput, so that a submission that comes now is not turned away.
+        while self.writes.level(now) >= 0.6 && self.in_flight.len() < IN_FLIGHT {
+            let Some((id, w, mark)) = self.owner.next_write(now, true) else { break };
+            self.writes.take(now, 2.0, 0.0);
+            self.commit_record(id, w, mark, out);
+        }
+        self.roll_loop(now, out);
+        while self.writes.level(now) >= 0.9 && self.in_flight.len() < IN_FLIGHT {
+            let Some((id, w, mark)) = self.owner.next_write(now, false) else { break };
+            self.writes.take(now, 1.0, 0.0);
+            self.commit_record(id, w, mark, out);
+        }
+    }
+
+    /// Keeps our pages of the roll of machines.
+    pub(super) fn roll_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        for (name, r) in self.home.to_record() {
+            self.roll.add(&name, &r);
+        }
+        if now >= self.next_prune {
+            self.next_prune = now + Micros::from_millis(5000);
+            let (home, owner, m) = (&self.home, &self.owner, &self.membership);
+            self.roll.prune(|n| match home.is_gone(n) {
+                Some(gone) => gone,
+                None => m.home(n) != Some(m.me) && owner.gone(n, m),
+            });
+            let acked: Vec<u64> = self.membership.members.iter().map(|&p| self.acked[p]).collect();
+            self.home.drop_gone(&acked);
+        }
+        let epoch = self.membership.epoch;
+        while let Some((page, key)) = self.roll.next_read() {
+            self.ask_store(Purpose::ReadPage(epoch, page), StoreRequest::Get(key), out);
+        }
+        while self.writes.level(now) >= 0.5 && self.in_flight.len() < IN_FLIGHT {
+            let Some(w) = self.roll.next_write() else { break };
+            self.writes.take(now, 1.0, 0.0);
+            let mut c =
+                Commit { conditions: vec![self.fence(), (w.key.clone(), w.mark)], ..Commit::default() };
+            match &w.value {
+                Some(v) => c.puts.push((w.key.clone(), v.clone(), None)),
+                None => c.drops.push(w.key.clone()),
+            }
+            self.ask_store(Purpose::Roll(epoch, w), StoreRequest::Commit(c), out);
+        }
+    }
+
+    pub(super) fn commit_record(&mut self, id: String, w: RecordWrite, mark: u64, out: &mut Vec<Effect>) {
+        // The record's own version keeps a late transaction from bringing back an older state.
+        let mut c =
+            Commit { conditions: vec![self.fence(), (format!("job/{id}"), mark)], ..Commit::default() };
+        match &w {
+            RecordWrite::Progress(v, _) => c.puts.push((format!("job/{id}"), v.clone(), None)),
+            RecordWrite::End(_, v) => {
+                c.puts.push((format!("done/{id}"), v.clone(), None));
+                c.drops.push(format!("job/{id}"));
+            }
+        }
+        self.ask_store(Purpose::Record(id, w), StoreRequest::Commit(c), out);
+    }
+}
--- /dev/null
+++ b/src/node/users.rs
@@ -0,0 +1,227 @@
+//! Users' requests: answered here, passed to the job's owner, or looked up.
+
+use super::*;
+
+impl Node {
+    pub(super) fn reply(&self, now: Micros, to: Origin, reply: Reply, out: &mut Vec<Effect>) {
+        match to {
+            Origin::Ticket(t) => out.push(Effect::Reply(t, reply)),
+            Origin::Peer(p, id) => {
+                out.push(Effect::Send(p, self.envelope(now, p, Message::Answer { id, reply })));
+            }
+        }
+    }
+
+    pub(super) fn user(&mut self, now: Micros, from: Origin, r: UserRequest, out: &mut Vec<Effect>) {
+        let reply = match self.membership.pass_job_to(r.job()) {
+            None => Reply::later("no ring yet"),
+            Some(o) if o != self.settings.me => match from {
+                Origin::Ticket(t) if self.asked.len() < WAITING_LIMIT => {
+                    let id = self.fresh_id();
+                    self.asked.insert(id, (t, now));
+                    out.push(Effect::Send(o, self.envelope(now, o, Message::Ask { id, request: r })));
+                    return;
+                }
+                _ => Reply::later("busy, or the job has moved"),
+            },
+            // A job's owner answers only while nobody else can be giving answers as its owner.
+            Some(_)
+                if !(self.membership.may_act(now)
+                    && self.membership.job_owner(r.job()) == Some(self.settings.me)
+                    && self.owner.loaded
+                    && self.membership.others_have_stopped(now)) =>
+            {
+                Reply::later("taking over")
+            }
+            Some(_) => match self.own_request(now, from, r, out) {
+                Some(reply) => reply,
+                None => return,
+            },
+        };
+        self.reply(now, from, reply, out);
+    }
+
+    pub(super) fn known(&self, id: &str) -> Option<Reply> {
+        if let Some((stance, done, running)) = self.owner.stance(id) {
+            return Some(Reply::json(
+                200,
+                &json!({"uid": id, "stance": stance, "done": done, "running": running}),
+            ));
+        }
+        let (f, done) = self.owner.final_of(id)?;
+        Some(Reply::json(200, &json!({"uid": id, "stance": stance_of(f), "done": done, "running": 0})))
+    }
+
+    pub(super) fn own_request(
+        &mut self,
+        now: Micros,
+        from: Origin,
+        r: UserRequest,
+        out: &mut Vec<Effect>,
+    ) -> Option<Reply> {
+        let id = r.job().to_owned();
+        if let UserRequest::Withdraw(_) = &r
+            && let Some(j) = self.owner.jobs.get_mut(&id)
+        {
+            if j.ending.is_none() {
+                j.ending = Some(Final::Cancelled);
+                tracing::info!(job = %id, "cancellation asked for");
+            }
+            self.withdrawing.entry(id).or_default().push(from);
+            return None;
+        }
+        if let Some(known) = self.known(&id) {
+            return Some(match r {
+                UserRequest::Withdraw(_) => {
+                    let f = self.owner.final_of(&id).map_or(Final::Done, |(f, _)| f);
+                    Reply::json(200, &json!({"uid": id, "stance": stance_of(f)}))
+                }
+                _ => known,
+            });
+        }
+        if let UserRequest::Submit(_, body) = &r {
+            if let Some(a) = self.accepting.get_mut(&id) {
+                a.origins.push(from);
+                return None;
+            }
+            let raw: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+            let spec = match Spec::from_value(&raw) {
+                Ok(s) => s,
+                Err(e) => return Some(Reply::error(400, &e.to_string())),
+            };
+            if self.fleet.types.is_empty() {
+                return Some(Reply::later("machine types are not known yet"));
+            }
+            if spec.check(&self.fleet.types, &self.settings.teams).is_ok() {
+                return self.accept(now, from, id, spec, raw, out);
+            }
+        } else if self.accepting.contains_key(&id) {
+            return Some(Reply::later("being accepted"));
+        }
+        // Unknown here: only the store can tell whether it was ever accepted.
+        if let Some(l) = self.lookups.get_mut(&id) {
+            l.push((from, r));
+            return None;
+        }
+        if self.lookups.len() >= WAITING_LIMIT || !self.requests.take(now, 2.0, 0.3) {
+            return Some(Reply::later("overloaded"));
+        }
+        self.lookups.insert(id.clone(), vec![(from, r)]);
+        self.ask_store(Purpose::Lookup(id.clone()), StoreRequest::Get(format!("job/{id}")), out);
+        None
+    }
+
+    pub(super) fn accept(
+        &mut self,
+        now: Micros,
+        from: Origin,
+        id: String,
+        spec: Spec,
+        raw: Value,
+        out: &mut Vec<Effect>,
+    ) -> Option<Reply> {
+        if self.accepting.len() >= WAITING_LIMIT || !self.writes.take(now, 1.0, 0.0) {
+            return Some(Reply::later("overloaded"));
+        }
+        let wall = self.wall;
+        // A body with superfluous fields must not make a record that the store won't take.
+        let raw = trimmed(&raw);
+        let value = Owner::record(&raw, wall, "");
+        if value.to_string().len() > self.settings.value_bytes {
+            return Some(Reply::error(422, "the description is too long to be kept"));
+        }
+        let c = Commit {
+            conditions: vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)],
+            puts: vec![(format!("job/{id}"), value, None)],
+            drops: Vec::new(),
+        };
+        self.accepting.insert(id.clone(), Accepting { origins: vec![from], spec, raw, wall });
+        self.ask_store(Purpose::Accept(id, self.membership.epoch), StoreRequest::Commit(c), out);
+        None
+    }
+
+    pub(super) fn accepted(
+        &mut self,
+        now: Micros,
+        id: String,
+        epoch: u64,
+        a: StoreAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(acc) = self.accepting.remove(&id) else { return };
+        match a {
+            StoreAnswer::Committed(mark) => {
+                tracing::info!(job = %id, class = %acc.spec.class, team = %acc.spec.team, tasks = acc.spec.tasks, epoch, "job accepted");
+                if self.membership.job_owner(&id) == Some(self.settings.me) {
+                    // Written under an epoch that has passed, it may have been another's since.
+                    let fresh = epoch == self.membership.epoch;
+                    if fresh || !self.owner.loaded {
+                        self.owner.insert(acc.raw, acc.spec, acc.wall, Ranges::default(), mark, fresh);
+                    }
+                }
+                for o in acc.origins {
+                    self.reply(now, o, Reply::json(201, &json!({"uid": id, "stance": "pending"})), out);
+                }
+            }
+            StoreAnswer::Conflict(keys) if !keys.iter().any(|k| k == EPOCH_KEY) => {
+                // It was accepted before; the store tells how it stands.
+                let waiting = acc.origins.into_iter().map(|o| (o, UserRequest::Query(id.clone())));
+                self.lookups.entry(id.clone()).or_default().extend(waiting);
+                self.ask_store(Purpose::Lookup(id.clone()), StoreRequest::Get(format!("job/{id}")), out);
+            }
+            _ => {
+                for o in acc.origins {
+                    self.reply(now, o, Reply::later("the job could not be put on record"), out);
+                }
+            }
+        }
+    }
+
+    pub(super) fn end(&mut self, now: Micros, id: &str, f: Final, out: &mut Vec<Effect>) {
+        self.owner.ended(id, f);
+        for o in self.withdrawing.remove(id).unwrap_or_default() {
+            self.reply(now, o, Reply::json(200, &json!({"uid": id, "stance": stance_of(f)})), out);
+        }
+    }
+
+    /// The store was asked about a job; `read` tells whether it answered.
+    pub(super) fn looked_up(&mut self, now: Micros, id: &str, read: bool, out: &mut Vec<Effect>) {
+        for (o, r) in self.lookups.remove(id).unwrap_or_default() {
+            if !read {
+                self.reply(now, o, Reply::later("the job's record could not be read"), out);
+            } else if self.owner.jobs.contains_key(id) || self.owner.final_of(id).is_some() {
+                if let Some(reply) = self.own_request(now, o, r, out) {
+                    self.reply(now, o, reply, out);
+                }
+            } else {
+                let reply = match r {
+                    UserRequest::Submit(_, body) => {
+                        let check =
+                            Spec::parse(&body).and_then(|s| s.check(&self.fleet.types, &self.settings.teams));
+                        match check {
+                            Err(e) => Reply::error(422, &e.to_string()),
+                            Ok(()) => Reply::later("machine types have changed"),
+                        }
+                    }
+                    _ => Reply::error(404, "no such job"),
+                };
+                self.reply(now, o, reply, out);
+            }
+        }
+    }
+
+    /// Requests passed to a peer that has not answered: the user is told to come back.
+    pub(super) fn overdue(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let late: Vec<u64> = self
+            .asked
+            .iter()
+            .filter(|(_, (_, t))| now.since(*t) >= Micros::from_millis(1500))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            if let Some((ticket, _)) = self.asked.remove(&id) {
+                out.push(Effect::Reply(ticket, Reply::later("the job's owner does not answer")));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/workers.rs
@@ -0,0 +1,96 @@
+//! Workers' reports and the answers that wait a little.
+
+use super::*;
+
+impl Node {
+    pub(super) fn report(
+        &mut self,
+        now: Micros,
+        ticket: u64,
+        r: &Report,
+        out: &mut Vec<Effect>,
+    ) -> Option<Reply> {
+        if let Some(reply) = self.not_home(now, &r.machine) {
+            return Some(reply);
+        }
+        match self.home.report(now, &self.membership, r) {
+            Verdict::Taken => {
+                // The worker has given up on an older report, or it would not have sent this one.
+                if let Some(old) = self.held.remove(&r.machine) {
+                    out.push(Effect::Reply(old, Reply::later("out of date")));
+                }
+                let fleet = &self.fleet;
+                if self.home.may_wait(now, &r.machine, |k| fleet.room(k)) {
+                    self.held.insert(r.machine.clone(), ticket);
+                    self.held_order.push_back((now, r.machine.clone(), ticket));
+                    return None;
+                }
+                Some(self.orders(&r.machine))
+            }
+            Verdict::Stale => Some(Reply::later("out of date")),
+            Verdict::Deposed => {
+                // Somebody has raised the epoch; find out.
+                self.next_ring = now;
+                Some(Reply::later("a newer epoch is known"))
+            }
+        }
+    }
+
+    /// The answer to a machine's report if this controller may not command it.
+    pub(super) fn not_home(&self, now: Micros, machine: &str) -> Option<Reply> {
+        match self.membership.pass_machine_to(machine) {
+            Some(h) if h == self.settings.me => {
+                let ours = self.membership.home(machine) == Some(h) && self.membership.may_act(now);
+                (!ours).then(|| Reply::later("not entitled to act"))
+            }
+            Some(h) => Some(Reply::json(421, &json!({"rider": self.membership.name(h)}))),
+            None => Some(Reply::later("no home")),
+        }
+    }
+
+    pub(super) fn orders(&mut self, machine: &str) -> Reply {
+        match self.home.orders(&self.membership, machine) {
+            Some(o) => {
+                Reply { status: 200, body: serde_json::to_string(&o).unwrap_or_default(), retry_after: None }
+            }
+            None => Reply::later("no such machine"),
+        }
+    }
+
+    /// Answers reports that were held back, once there is something to say or their time is up.
+    /// Looks only at machines that changed and at those held longest.
+    pub(super) fn held_reports(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let longest = Micros(self.settings.report.0 * 2 / 5);
+        let mut due: Vec<String> = Vec::new();
+        while let Some((since, name, ticket)) = self.held_order.front() {
+            let answered = self.held.get(name) != Some(ticket);
+            if !answered && now.since(*since) < longest {
+                break;
+            }
+            if !answered {
+                due.push(name.clone());
+            }
+            self.held_order.pop_front();
+        }
+        let fleet = &self.fleet;
+        for name in self.home.fresh() {
+            if self.held.contains_key(&name) && !self.home.may_wait(now, &name, |k| fleet.room(k)) {
+                due.push(name);
+            }
+        }
+        for name in due {
+            let Some(ticket) = self.held.remove(&name) else { continue };
+            let reply = self.not_home(now, &name).unwrap_or_else(|| self.orders(&name));
+            out.push(Effect::Reply(ticket, reply));
+        }
+    }
+
+    /// The ring or the right to act has changed: whoever waits is answered by what holds now.
+    pub(super) fn release_held(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        self.held_order.clear();
+        for (name, ticket) in std::mem::take(&mut self.held) {
+            let reply = self.not_home(now, &name).unwrap_or_else(|| self.orders(&name));
+            out.push(Effect::Reply(ticket, reply));
+        }
+    }
+}
