--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -867,6 +867,90 @@
         assert_eq!(f.kept, Vec::new());
     }
 
+    fn machine(i: usize, kind: &str, free: f64, total: f64) -> Seen {
+        let d = crate::peer::MachineDigest {
+            name: format!("i-{i:03}"),
+            kind: kind.into(),
+            zone: "a".into(),
+            spot: false,
+            standing: Standing::Known,
+            open: true,
+            notice: None,
+            free: Room::need(free, 0.0, 64.0),
+            total: Room::need(total, 0.0, 64.0),
+            by_priority: vec![(0, Room::need(total - free, 0.0, 0.0))],
+            images: Vec::new(),
+            busy: (total - free) as u32,
+            idle: None,
+            silent: None,
+            tasks: Vec::new(),
+        };
+        Seen::new(Micros(1), d)
+    }
+
+    fn by_name(list: &[Seen]) -> BTreeMap<&str, &Seen> {
+        list.iter().map(|d| (d.name.as_str(), d)).collect()
+    }
+
+    /// Small tasks on all big machines but a few: gangs find those few, and the rest is not idle.
+    #[test]
+    fn of_many_big_machines_some_are_left_to_gangs_and_stay_the_same() {
+        let mut f = fleet(vec![Demand { together: 3, ..shape(30.0, false, 2) }, shape(1.0, true, 0)]);
+        let mut seen: Vec<Seen> =
+            (0..60).map(|i| machine(i, "large", if i < 6 { 20.0 } else { 2.0 }, 32.0)).collect();
+        f.keep(Micros(2), &seen.iter().collect::<Vec<_>>());
+        assert_eq!(f.kept, Vec::new(), "enough of them that a part will do");
+        let first = f.reserve.clone();
+        assert_eq!(first.len(), 6, "two gangs of three");
+        assert!(first.keys().all(|n| n.as_str() < "i-006"), "those that are emptiest");
+        seen.extend((60..70).map(|i| machine(i, "large", 32.0, 32.0)));
+        f.keep(Micros(3), &seen.iter().collect::<Vec<_>>());
+        assert_eq!(f.reserve, first, "a choice that moved on would empty one machine after another");
+        f.keep(Micros(4), &seen[..8].iter().collect::<Vec<_>>());
+        assert!(!f.kept.is_empty(), "of a few, all are left to the gangs");
+    }
+
+    #[test]
+    fn headroom_follows_what_runs_and_ends_with_it() {
+        let mut f = fleet(vec![]);
+        f.guaranteed = 1_000_000;
+        let full: Vec<Seen> = (0..20).map(|i| machine(i, "large", 0.0, 32.0)).collect();
+        // A quarter of 640 in use, which is less than a fifth of 1,000: 160, five machines.
+        assert_eq!(f.headroom(&by_name(&full)).map(|d| (d.count, d.spot)), Some((6, false)));
+        let idle: Vec<Seen> = (0..20).map(|i| machine(i, "large", 32.0, 32.0)).collect();
+        assert_eq!(f.headroom(&by_name(&idle)), None);
+    }
+
+    /// One machine every few seconds would keep a large fleet for minutes after a surge.
+    #[test]
+    fn clear_surplus_goes_in_batches_and_queued_work_stops_that() {
+        let mut f = fleet(vec![]);
+        f.usual = Some((Room::need(1.0, 0.0, 1.0), Micros(20_000_000), Micros(60_000_000)));
+        let idle: Vec<Seen> = (0..100).map(|i| machine(i, "small", 3.0, 4.0)).collect();
+        let by_name = by_name(&idle);
+        let old = |d: &Seen| Listed {
+            name: d.name.clone(),
+            kind: d.kind.clone(),
+            zone: d.zone.clone(),
+            spot: false,
+            state: "running".into(),
+            age_s: 100.0,
+        };
+        f.listed = Some(idle.iter().map(|d| (d.name.clone(), old(d))).collect());
+        f.shrink(Micros(10_000_000), &by_name);
+        assert_eq!(f.spare.len(), 10);
+        f.spare.clear();
+        let queue = Demand {
+            count: 5,
+            estimate: Micros(20_000_000),
+            horizon: Micros(60_000_000),
+            ..shape(1.0, true, 0)
+        };
+        f.demand(Micros(20_000_000), 0, vec![queue]);
+        f.shrink(Micros(20_000_000), &by_name);
+        assert_eq!(f.spare.len(), 1);
+    }
+
     #[test]
     fn a_rental_without_an_answer_is_repeated_under_its_name() {
         let mut f = fleet(vec![]);
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -292,10 +292,11 @@
                             full.push(j.spec.clone());
                         }
                         let evict = age >= self.patience(&j.spec);
-                        // One gang at a time unless the fleet is large, and not where another owner's
-                        // waits: several that each empty a few machines get nowhere and keep all
-                        // others out.
-                        if keeping == 0 || keeping + j.spec.tasks as usize <= most {
+                        // One gang at a time, and not where another owner's waits: several that each
+                        // empty a few machines get nowhere and keep all others out. On a large fleet
+                        // several may, where what is in their way can be stopped.
+                        let several = !teams.guaranteed(&j.spec.team);
+                        if keeping == 0 || (several && keeping + j.spec.tasks as usize <= most) {
                             keeps = keep_places(&mut places, &j.spec, &j.keeps, &taken);
                             keeping += keeps.len();
                         }
