--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -16,7 +16,8 @@
 const RENT_LIMIT: u32 = 50;
 /// Most names in one return.
 const RETURN_LIMIT: usize = 100;
-/// One in so many of the machines that would do is left to urgent gangs at the most.
+/// One in so many of the machines that would do is left to urgent gangs at the most, and half of
+/// that where guarantees promise the room to others too.
 const RESERVED_PART: usize = 6;
 
 /// How many machines gangs of this shape should find at hand: two may come at a time.
@@ -543,7 +544,8 @@
                         && x.total.count_of(d.room) == 1
                 })
                 .collect();
-            let n = at_hand(d).min(fits.len() / RESERVED_PART);
+            let part = if self.guarantees { RESERVED_PART * 2 } else { RESERVED_PART };
+            let n = at_hand(d).min(fits.len() / part);
             let mut zones: BTreeMap<&str, Vec<(bool, i64, &str)>> = BTreeMap::new();
             for x in fits {
                 let lower = x.by_priority.iter().filter(|(p, _)| *p < d.priority);
