--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -159,6 +159,8 @@
     loaded_at: Option<Micros>,
     /// Shapes of jobs seen of late, and when.
     shapes: Vec<(Demand, Micros)>,
+    /// The time of day at the last placing pass.
+    wall: Micros,
     /// Per class, how long completed tasks ran and how long they were expected to. Users' guesses
     /// are off by half, on some days all to one side.
     ran: BTreeMap<String, (Micros, Micros)>,
@@ -198,6 +200,7 @@
             steered: false,
             loaded_at: None,
             shapes: Vec::new(),
+            wall: Micros(0),
             ran: BTreeMap::new(),
         }
     }
@@ -571,6 +574,29 @@
         assert_eq!(owner.wanted(0, &m).list.len(), 1);
     }
 
+    /// Found in an incident on sanaq-forms-grown: in a surge that no fleet could have carried, first come
+    /// first served made three jobs of four late.
+    #[test]
+    fn jobs_that_can_still_be_on_time_go_first_and_short_ones_before_long_ones() {
+        let (m, teams, mut owner, _) = owner_of(raw("batch", 50, 0.0));
+        owner.objectives = vec![Objective { kind: "finished".into(), class: "b".into(), within_s: 60.0 }];
+        let mut add = |id: &str, tasks: u32, accepted_s: u64| {
+            let mut r = raw("batch", tasks, 0.0);
+            r["uid"] = json!(id);
+            let spec = Spec::from_value(&r).expect("valid");
+            owner.insert(r, spec, Micros::from_millis(accepted_s * 1000), Ranges::default(), 1, true);
+        };
+        add("wk-2", 9, 90);
+        add("wk-3", 2, 5);
+        let now = Micros::from_millis(100_000);
+        // The first was accepted just after the time of day began.
+        owner.jobs.get_mut("wk-1").expect("live").accepted_wall = Micros::from_millis(80_000);
+        owner.plan(now, now, &m, &teams);
+        assert_eq!(owner.order(), ["wk-2", "wk-1", "wk-3"], "the third can't be on time any more");
+        owner.jobs.get_mut("wk-1").expect("live").spec.tasks = 9;
+        assert_eq!(owner.order(), ["wk-1", "wk-2", "wk-3"], "by age while the queue is short");
+    }
+
     #[test]
     fn guesses_are_corrected_by_what_was_seen() {
         let s = Spec::from_value(&json!({"uid":"wk-1","breed":"b","herd":"t","gait":"batch","rank":"idle",
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -61,11 +61,44 @@
         }
     }
 
-    /// Jobs in the order in which they get room: by priority, then by age.
+    /// Jobs in the order in which they get room: by priority; then those that can still keep the
+    /// earliest time promised for their class, those that can keep a later one, the rest; then by
+    /// age. When there is far more work than room, arrays of one such group go by what they have
+    /// left instead: being late with few large jobs beats being late with all.
     pub(super) fn order(&self) -> Vec<String> {
-        let mut ids: Vec<(&String, &Job)> = self.jobs.iter().filter(|(_, j)| j.ending.is_none()).collect();
-        ids.sort_by_key(|(id, j)| (std::cmp::Reverse(j.spec.priority), j.accepted_wall, (*id).clone()));
-        ids.into_iter().map(|(id, _)| id.clone()).collect()
+        let arrays = || self.jobs.values().filter(|j| j.spec.kind == Kind::Array && j.ending.is_none());
+        let work: u64 = arrays().map(|j| self.left(j)).sum();
+        let running: usize = arrays().map(|j| j.placed.len()).sum();
+        let queue = Micros(work / running.max(1) as u64);
+        let mut ids: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.ending.is_none())
+            .map(|(id, j)| {
+                let (late, left) = if j.spec.kind == Kind::Array { self.standing(j, queue) } else { (0, 0) };
+                ((std::cmp::Reverse(j.spec.priority), late, left, j.accepted_wall), id)
+            })
+            .collect();
+        ids.sort_unstable();
+        ids.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// How long an array's tasks have left to run, one after the other.
+    fn left(&self, j: &Job) -> u64 {
+        u64::from(j.spec.tasks - j.done.len()) * likely(&self.ran, &j.spec).0.max(1)
+    }
+
+    /// How many of the times promised for a job's class it can't keep any more, and, if the queue is
+    /// long for what was promised, how much it has left.
+    fn standing(&self, j: &Job, queue: Micros) -> (u8, u64) {
+        let run = likely(&self.ran, &j.spec).0;
+        let soonest = self.wall.since(j.accepted_wall).0 + run;
+        let finished = self.objectives.iter().filter(|o| o.kind == "finished" && o.class == j.spec.class);
+        let mut promised: Vec<u64> = finished.map(|o| Micros::from_secs(o.within_s).0).collect();
+        promised.extend(j.spec.deadline.map(|d| d.0));
+        let late = promised.iter().filter(|&&p| soonest > p).count();
+        let crowded = promised.iter().min().is_some_and(|&p| queue.0 > p / 2);
+        (late.min(250) as u8, if crowded { self.left(j) } else { 0 })
     }
 
     /// What our jobs need of their teams, per team in the order in which they should get it.
@@ -221,6 +254,7 @@
         if !self.loaded {
             return;
         }
+        self.wall = wall;
         self.move_gangs(now);
         let since = *self.loaded_at.get_or_insert(now);
         if !self.steered && now.since(since) < Micros::from_millis(3000) {
