--- /dev/null
+++ b/tests/messages.rs
@@ -0,0 +1,67 @@
+//! Messages between controllers that build on something their receiver does not hold.
+
+use hazelsaddle::machines::{Home, Report};
+use hazelsaddle::peer::{Digest, TaskKey, Want, Wanted, Wishes};
+use hazelsaddle::ring::{EpochRecord, Membership};
+use hazelsaddle::settings::Settings;
+use hazelsaddle::units::{Micros, Room};
+use hazelsaddle::views::View;
+
+const EPOCH: u64 = 3;
+
+fn home() -> (Membership, Home) {
+    let text = "member = \"c0\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\n\
+        state = \"10.0.0.9:2\"\n[settings.workers]\nreport_s = 3.0\nlease_s = 18.0\ngang_wait_s = 30.0\n\
+        gang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\nwrite_rps = 15.0\nvalue_kb = 4.0\n\
+        txn_ops = 8\n[settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n";
+    let s = Settings::parse("test", text).expect("valid");
+    let mut m = Membership::new(&s, 1);
+    m.adopt(Micros(1), &EpochRecord { epoch: EPOCH, members: vec![("c0".into(), 1)] }, 1);
+    let mut home = Home::new(&s);
+    home.adopt(Micros(1), &m, false, |_| None);
+    let report = Report {
+        machine: "i-1".into(),
+        addr: String::new(),
+        kind: "k".into(),
+        zone: "z".into(),
+        spot: false,
+        session: 1,
+        seq: 1,
+        token: EPOCH,
+        notice_s: None,
+        tasks: Vec::new(),
+    };
+    home.report(Micros(2), &m, &report);
+    (m, home)
+}
+
+/// What lies between would be taken for "not wanted" or "not there".
+#[test]
+fn a_message_that_builds_on_a_state_not_held_is_dropped() {
+    let (m, mut home) = home();
+    let room = |_: &str| Some(Room { cpus: 4000, gpus: 0, memory: 8000 });
+    let first = EPOCH << 32;
+    let wish = Wanted {
+        key: TaskKey { job: "wk-1".into(), index: 0, attempt: 1 },
+        machine: "i-1".into(),
+        room: Room { cpus: 1000, gpus: 0, memory: 1000 },
+        want: Want::Run,
+        priority: 0,
+        image: 0,
+    };
+    let ahead = Wishes { rev: first + 5, since: first + 4, list: vec![wish.clone()], dropped: Vec::new() };
+    assert!(!home.wanted(Micros(3), 0, &ahead, &m, room));
+    let digest = home.digest(Micros(4), &m, 0, 0, room);
+    assert!(digest.machines[0].tasks.is_empty());
+    assert!(digest.rev_seen < first, "what was dropped must not count as seen");
+    assert!(home.wanted(Micros(5), 0, &Wishes { since: 0, ..ahead }, &m, room));
+    assert_eq!(home.digest(Micros(6), &m, 0, 0, room).machines[0].tasks[0].key, wish.key);
+
+    let mut view = View::default();
+    let later = Digest { since: digest.seq, seq: digest.seq + 2, ..digest.clone() };
+    assert_eq!(view.take(Micros(7), EPOCH, later), None, "nothing of this epoch is held yet");
+    assert!(view.take(Micros(8), EPOCH, digest.clone()).is_some());
+    let gap = Digest { since: digest.seq + 1, seq: digest.seq + 2, machines: Vec::new(), ..digest.clone() };
+    assert_eq!(view.take(Micros(9), EPOCH, gap), None);
+    assert_eq!(view.seq(EPOCH), digest.seq, "the sender goes on building on what is held");
+}
