Controllers that hear no worker or no peer step aside; wishes before a report are kept

Now it leaves by raising the epoch without itself when it hears no worker while its machines turn up elsewhere, probes workers, and comes back once, after a stay that grows.

Names returned to the cloud are remembered over epochs, so that pages of an absent controller delay nobody. Effects are looked at again just before they go out.

--- a/src/api.rs
+++ b/src/api.rs
@@ -92,6 +92,12 @@
     String::from_utf8(bytes).map_err(|_| Reply::error(400, "the body is not UTF-8"))
 }
 
+/// Whether a worker at this address answers.
+pub fn reachable(addr: &str) -> bool {
+    let agent = ureq::AgentBuilder::new().timeout(std::time::Duration::from_secs(1)).redirects(0).build();
+    crate::store::call(&agent, "GET", &format!("http://{addr}/inspect"), None).is_some_and(|(s, _)| s == 200)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -142,6 +142,17 @@
         }
     });
 
+    let (probe_tx, probe_rx) = bounded::<Vec<String>>(1);
+    let back = tx.clone();
+    std::thread::spawn(move || {
+        while let Ok(addresses) = probe_rx.recv() {
+            let reached = addresses.iter().any(|a| api::reachable(a));
+            if back.send(Inbound::Event(Event::Probed(reached))).is_err() {
+                return;
+            }
+        }
+    });
+
     tracing::info!(member = %settings.member, zone = %settings.zone, api = %settings.api, back = %settings.back, "started");
     let boot: u64 = rand::random::<u64>() >> 12;
     let mut node = Node::new(settings, boot);
@@ -173,7 +184,11 @@
         }
         node.reconcile(clock(), wall(), &mut out);
         for effect in out.drain(..) {
+            let Some(effect) = node.vetted(clock(), effect) else { continue };
             match effect {
+                Effect::Probe(addresses) => {
+                    let _ = probe_tx.try_send(addresses);
+                }
                 Effect::Reply(ticket, r) => {
                     if let Some(request) = open.remove(&ticket) {
                         answer(request, r);
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -129,6 +129,8 @@
 
 /// Most starts in one answer, so that no line of it nears 64 KiB.
 const STARTS_AN_ANSWER: usize = 200;
+/// Names of returned machines remembered.
+const RETURNED: usize = 5000;
 /// Images remembered a machine.
 const IMAGES: usize = 12;
 /// Most commands in one answer.
@@ -244,6 +246,12 @@
     /// A machine that has been silent for this long may be dead.
     patience: Micros,
     next_tick: Micros,
+    /// Machines that the cloud has taken back, of any home, the newest names. The roll's pages of a
+    /// controller that is down name them on, and a new epoch must not wait for them.
+    returned: BTreeSet<String>,
+    /// What owners want of starts on machines that have yet to say what they hold. A wish is said only
+    /// once, and a machine's first report in an epoch may come after it.
+    early: BTreeMap<String, BTreeMap<TaskKey, Wanted>>,
 }
 
 impl Home {
@@ -257,6 +265,8 @@
             changes: Changes::default(),
             patience: Micros(s.report.0 * 5 / 2 + 500_000),
             next_tick: Micros(0),
+            returned: BTreeSet::new(),
+            early: BTreeMap::new(),
         }
     }
 
@@ -271,6 +281,7 @@
         owner_before: impl Fn(&str) -> Option<usize>,
     ) {
         self.machines.retain(|name, _| m.home(name) == Some(m.me));
+        self.early.clear();
         // Numbers never go back, not even over a restart, since the epoch is their head. Everything
         // counts as changed: whoever holds nothing of this epoch gets all.
         self.changes.by_seq.clear();
@@ -301,9 +312,35 @@
             .entry(name.into())
             .or_insert_with(|| Machine::new(now, r.kind, r.zone, r.spot, r.addr));
         x.record = Record::Yes;
+        if self.returned.contains(name) {
+            x.standing = Standing::Gone;
+            x.entries.clear();
+        }
         self.changes.touch(name, &mut x.version);
     }
 
+    /// This process did not get to run for so long. Machines may have spoken meanwhile, so their
+    /// silence is counted without that time.
+    pub fn paused(&mut self, now: Micros, pause: Micros) {
+        for x in self.machines.values_mut() {
+            x.heard_at = (x.heard_at + pause).min(now);
+        }
+    }
+
+    /// How many machines were heard of late enough that their leases live.
+    pub fn live(&self, now: Micros) -> usize {
+        let alive = |x: &&Machine| x.reported && now.since(x.heard_at) < self.worker_lease;
+        self.machines.values().filter(alive).count()
+    }
+
+    /// Where some of the machines can be reached; others each time.
+    pub fn addresses(&self, n: usize, now: Micros) -> Vec<String> {
+        let known: Vec<&String> =
+            self.machines.values().filter(|x| x.standing != Standing::Gone).map(|x| &x.addr).collect();
+        let first = (now.0 / 1_000_000) as usize * n;
+        (0..n.min(known.len())).map(|i| known[(first + i) % known.len()].clone()).collect()
+    }
+
     /// Takes a report and says what to answer. `capacity` gives a type's room.
     pub fn report(&mut self, now: Micros, m: &Membership, r: &Report) -> Verdict {
         if r.token > m.epoch {
@@ -329,6 +366,7 @@
             x.standing = Standing::Known;
             changed = true;
         }
+        let early = self.early.get(&r.machine);
         let mut listed = BTreeSet::new();
         for t in &r.tasks {
             let Some((key, phase)) = t.read() else {
@@ -337,12 +375,23 @@
             };
             let e = x.entries.entry(key.clone()).or_insert_with(|| {
                 changed = true;
-                Entry { room: None, priority: 0, image: 0, phase, want: None, sent_to: (0, 0) }
+                let w = early.and_then(|e| e.get(&key));
+                Entry {
+                    room: w.map(|w| w.room),
+                    priority: w.map_or(0, |w| w.priority),
+                    image: w.map_or(0, |w| w.image),
+                    phase,
+                    want: w.map(|w| w.want),
+                    sent_to: (0, 0),
+                }
             });
             changed |= e.phase != phase;
             e.phase = phase;
             listed.insert(key);
         }
+        if x.standing == Standing::Known {
+            self.early.remove(&r.machine);
+        }
         // What is not listed and was out is not there: the worker keeps one report in flight, so
         // this one was sent after it took or dropped the answer that carried the start.
         let before = x.entries.len();
@@ -443,6 +492,9 @@
         }
         for (machine, key) in &w.dropped {
             self.decided.remove(key);
+            if let Some(e) = self.early.get_mut(machine) {
+                e.remove(key);
+            }
             if m.job_owner(&key.job) == Some(from) {
                 self.drop_entry(machine, key);
             }
@@ -467,6 +519,9 @@
                 self.changes.touch(name, &mut x.version);
             }
         }
+        for e in self.early.values_mut() {
+            e.retain(|k, _| m.job_owner(&k.job) != Some(from));
+        }
         let keys: BTreeSet<&TaskKey> = list.iter().map(|w| &w.key).collect();
         self.decided.retain(|k, &mut owner| owner != from || keys.contains(k));
     }
@@ -499,7 +554,13 @@
             self.changes.touch(&w.machine, &mut x.version);
             return;
         }
-        if !matches!(w.want, Want::Hold | Want::Run) || self.decided.contains_key(&w.key) {
+        if !matches!(w.want, Want::Hold | Want::Run) {
+            if self.machines.get(&w.machine).is_none_or(|x| x.standing == Standing::Unconfirmed) {
+                self.early.entry(w.machine.clone()).or_default().insert(w.key.clone(), w.clone());
+            }
+            return;
+        }
+        if self.decided.contains_key(&w.key) {
             return;
         }
         // Decided here and now, even if the machine isn't known yet: then the answer is no. The
@@ -578,6 +639,9 @@
             }
         }
         for name in gone {
+            if self.returned.insert(name.clone()) && self.returned.len() > RETURNED {
+                self.returned.pop_first();
+            }
             if let Some(x) = self.machines.get_mut(name)
                 && x.standing != Standing::Gone
             {
@@ -851,6 +915,36 @@
         assert_eq!(starts(&mut home, &m), 1);
     }
 
+    /// Found by a replay on sanaq-forms-ops: a cancelled job's task whose machine had just changed its
+    /// home ran on for longer than `cancel_s`. Its owner's wish to stop it came before the machine's
+    /// first report, was dropped, and was never said again.
+    #[test]
+    fn what_is_wanted_of_a_machine_that_has_yet_to_report_is_not_lost() {
+        for recorded in [false, true] {
+            let (m, mut home) = setup();
+            if recorded {
+                let r =
+                    MachineRecord { kind: "k".into(), zone: "z".into(), spot: false, addr: String::new() };
+                home.recorded(Micros(9), "i-1", r);
+            }
+            let stop = Wanted { want: Want::Stop(Micros(0)), ..want(1, 3000) };
+            let keep = Wanted {
+                want: Want::Keep,
+                key: TaskKey { job: "wk-1".into(), index: 1, attempt: 1 },
+                ..want(1, 500)
+            };
+            home.wanted(Micros(10), 0, &whole(1, vec![stop, keep]), &m, |_| Some(ROOM));
+            let running = [("wk-1/0", 1, "running"), ("wk-1/1", 1, "running")];
+            home.report(Micros(20), &m, &report(1, 6, &running));
+            let orders = home.orders(&m, "i-1").expect("known");
+            let told: Vec<_> = orders.commands.iter().map(|c| (c.op, c.task.as_str())).collect();
+            assert_eq!(told, [("kill", "wk-1/0")]);
+            home.report(Micros(30), &m, &report(2, 7, &running));
+            let d = home.digest(Micros(31), &m, 0, 0, |_| Some(ROOM)).machines.remove(0);
+            assert!(d.open && d.free.cpus == 500, "what the tasks take is known too: {d:?}");
+        }
+    }
+
     #[test]
     fn a_start_in_doubt_holds_its_room_until_a_newer_report() {
         let (m, mut home) = ready();
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,6 +12,7 @@
 use crate::jobs::{Final, Owner, RecordWrite};
 use crate::machines::{Home, Report, Verdict};
 use crate::peer::{Frame, Message, Reply, UserRequest, Wishes};
+use crate::ring::aside::{Aside, Strays};
 use crate::ring::{EpochRecord, Membership};
 use crate::roll::{self, PageWrite, Roll};
 use crate::settings::Settings;
@@ -28,6 +29,11 @@
 const WAITING_LIMIT: usize = 1000;
 /// Requests of one purpose under way at the state service.
 const IN_FLIGHT: usize = 12;
+/// A gap between two rounds from which on this process is taken to have stood still. Rounds are a
+/// tenth of a second apart.
+const PAUSE: Micros = Micros::from_millis(1000);
+/// Workers tried in one probe.
+const PROBED: usize = 3;
 
 /// What happens to a controller.
 #[derive(Clone, Debug)]
@@ -46,6 +52,8 @@
     Store(u64, StoreAnswer),
     /// An answer of the cloud.
     Cloud(CloudRequest, CloudAnswer),
+    /// Whether one of the workers that were to be probed has answered.
+    Probed(bool),
     /// Only time has passed.
     Tick,
 }
@@ -61,6 +69,8 @@
     Store(u64, StoreRequest, bool),
     /// Ask the cloud.
     Cloud(CloudRequest),
+    /// Find out whether a worker at one of these addresses answers.
+    Probe(Vec<String>),
 }
 
 /// Who waits for an answer.
@@ -132,6 +142,13 @@
     seen: Option<(EpochRecord, u64, Micros)>,
     ring_busy: bool,
     next_ring: Micros,
+    aside: Aside,
+    /// Other controllers whose store leases lived when last read.
+    alive: Vec<usize>,
+    /// Per controller: machines of its that turned up here and were sent on to it.
+    strays: Vec<Strays>,
+    /// When the last round ended; a gap means that the process stood still.
+    last_round: Micros,
     // Loading.
     load: Load,
     load_after: String,
@@ -185,6 +202,10 @@
             seen: None,
             ring_busy: false,
             next_ring: Micros(0),
+            aside: Aside::new(&settings),
+            alive: Vec::new(),
+            strays: (0..n).map(|_| Strays::default()).collect(),
+            last_round: Micros(0),
             load: Load::Done,
             load_after: String::new(),
             load_busy: false,
@@ -218,6 +239,7 @@
     /// Takes one event.
     pub fn step(&mut self, now: Micros, wall: Micros, event: Event, out: &mut Vec<Effect>) {
         self.wall = wall;
+        self.wake(now);
         match event {
             Event::Report(ticket, r) => {
                 if let Some(reply) = self.report(now, ticket, &r, out) {
@@ -248,14 +270,49 @@
                     self.home.touch_all();
                 }
             }
+            Event::Probed(reached) => self.aside.probed(reached),
             Event::Tick => {}
         }
     }
 
+    /// Called before anything else is done: notes whether this process stood still while its clock
+    /// ran on. What others did in that time was not heard, so it can't be held against them.
+    fn wake(&mut self, now: Micros) {
+        let pause = now.since(self.last_round);
+        if self.last_round > Micros(0) && pause >= PAUSE {
+            tracing::info!(epoch = self.membership.epoch, seconds = pause.secs(), "this process stood still");
+            self.home.paused(now, pause);
+            self.aside.paused(now, pause);
+            // Its standing may have changed: that comes first.
+            self.next_ring = now;
+        }
+        self.last_round = now;
+    }
+
+    /// The last look before an effect goes out. Between a decision and its effect the process may
+    /// have stood still and lost its right to act: what rests on that right is taken back.
+    pub fn vetted(&mut self, now: Micros, effect: Effect) -> Option<Effect> {
+        if !self.was_acting || self.membership.may_act(now) {
+            return Some(effect);
+        }
+        match effect {
+            Effect::Reply(t, r) if (200..300).contains(&r.status) => {
+                Some(Effect::Reply(t, Reply::later("not entitled to act any more")))
+            }
+            Effect::Cloud(r @ (CloudRequest::Rent(_) | CloudRequest::Return(_))) => {
+                self.fleet.answer(now, &r, CloudAnswer::Failed);
+                None
+            }
+            other => Some(other),
+        }
+    }
+
     /// Works off the differences between what is wanted and what is. Called after events and at
     /// least every tenth of a second.
     pub fn reconcile(&mut self, now: Micros, wall: Micros, out: &mut Vec<Effect>) {
         self.wall = wall;
+        self.wake(now);
+        self.step_aside(now, out);
         self.ring_loop(now, out);
         self.load_loop(now, out);
         let acting = self.membership.may_act(now);
@@ -264,7 +321,10 @@
             tracing::info!(epoch = self.membership.epoch, acting, "right to act changed");
             self.release_held(now, out);
         }
-        self.home.tick(now, &self.membership);
+        // One that has stepped aside leaves it to the new homes to say what is gone.
+        if !self.membership.aside {
+            self.home.tick(now, &self.membership);
+        }
         if acting && self.owner.loaded {
             if now >= self.next_plan
                 && (self.owner.replan || now >= self.next_plan + Micros::from_millis(400))
@@ -292,6 +352,7 @@
         self.say(now, out);
         self.held_reports(now, out);
         self.overdue(now, out);
+        self.last_round = now;
     }
 
     fn fresh_id(&mut self) -> u64 {
@@ -314,6 +375,7 @@
             "epoch": m.epoch,
             "members": m.members.iter().map(|&i| m.name(i)).collect::<Vec<_>>(),
             "acting": m.may_act(now),
+            "aside": self.aside.away().map(|a| format!("{a:?}").to_lowercase()),
             "decider": m.decider().map(|d| m.name(d)),
             "records_read": self.owner.loaded,
             "machines_unheard": self.owner.unheard(),
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -13,19 +13,50 @@
             return self.ask_store(Purpose::Grant, StoreRequest::Grant(ms), out);
         };
         if !self.registered {
-            let c = Commit {
-                puts: vec![(
-                    format!("ring/m/{}", self.settings.member),
-                    json!({"boot": self.boot}),
-                    Some(lease),
-                )],
-                ..Commit::default()
-            };
+            let c =
+                Commit { puts: vec![self.own_key(lease, self.aside.away().is_some())], ..Commit::default() };
             return self.ask_store(Purpose::Register, StoreRequest::Commit(c), out);
         }
         self.ask_store(Purpose::ReadEpoch(now), StoreRequest::Get(EPOCH_KEY.into()), out);
     }
 
+    /// The key that shows that this process lives, and whether it wants a place on the ring.
+    fn own_key(&self, lease: u64, aside: bool) -> (String, Value, Option<u64>) {
+        let value = match aside {
+            true => json!({"boot": self.boot, "aside": true}),
+            false => json!({"boot": self.boot}),
+        };
+        (format!("ring/m/{}", self.settings.member), value, Some(lease))
+    }
+
+    /// Leaves the ring, or comes back, when the evidence says so.
+    pub(super) fn step_aside(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if self.aside.away().is_none() {
+            // With the store's word only: leaving takes a change of the epoch record.
+            if !self.membership.store_confirms(now) || self.membership.aside {
+                return;
+            }
+            let peers: Vec<usize> = self.membership.others().filter(|p| self.alive.contains(p)).collect();
+            let Some(missing) = self.aside.verdict(now, self.home.live(now), self.settings.me, &peers) else {
+                return;
+            };
+            tracing::info!(epoch = self.membership.epoch, ?missing, "stepping aside");
+            self.aside.leave(now, missing);
+            // From here on nothing is commanded or answered, before anybody else may do so.
+            self.membership.aside = true;
+            self.next_ring = now;
+        } else if self.alive.is_empty() || self.aside.may_return(now, &self.alive) {
+            tracing::info!(epoch = self.membership.epoch, "coming back");
+            self.aside.back(now);
+            // The key must say so before the epoch is raised, or others would raise it again. Until
+            // the ring has it back this process still doesn't act.
+            self.registered = false;
+            self.next_ring = now;
+        } else if self.aside.probe(now) {
+            out.push(Effect::Probe(self.home.addresses(PROBED, now)));
+        }
+    }
+
     pub(super) fn ring_again(&mut self, now: Micros, ms: u64) {
         self.ring_busy = false;
         self.next_ring = now + Micros::from_millis(ms);
@@ -70,41 +101,70 @@
                 let Some((record, mark, _)) = self.seen.clone() else {
                     return self.ring_again(now, 300);
                 };
+                // Those that have stepped aside live, but want no place.
                 let mut alive: Vec<(String, u64)> = rows
                     .iter()
+                    .filter(|r| !r.value.get("aside").is_some_and(|a| a == true))
                     .filter_map(|r| {
                         let name = r.key.strip_prefix("ring/m/")?;
                         Some((name.to_owned(), r.value.get("boot")?.as_u64()?))
                     })
-                    .filter(|(n, _)| self.settings.members.contains(n) && *n != self.settings.member)
+                    .filter(|(n, _)| self.settings.members.contains(n))
                     .collect();
-                alive.push((self.settings.member.clone(), self.boot));
-                // Raise the epoch to join, or when the store has ended a member's lease.
+                let own = (self.settings.member.clone(), self.boot);
+                let away = self.aside.away().is_some();
+                // Whose lease has ended without its knowledge must get a new one before it joins:
+                // the others would put it out again at once, and so on in turns.
+                let key = format!("ring/m/{}", own.0);
+                let there = |r: &Row| r.key == key && r.value.get("boot").is_some_and(|b| *b == own.1);
+                if !rows.iter().any(there) {
+                    return self.ring_answer(now, Purpose::ReadMembers(sent), StoreAnswer::NoLease, out);
+                }
+                alive.retain(|m| m.0 != own.0);
+                let number = |(n, _): &(String, u64)| self.settings.members.iter().position(|m| m == n);
+                self.alive = alive.iter().filter_map(number).collect();
+                if !away {
+                    alive.push(own);
+                }
+                // Raise the epoch to join, or to leave, or when the store has ended a member's lease.
                 let lost = record.members.iter().any(|m| !alive.contains(m));
-                if !self.membership.is_in(&record) || lost {
+                let (Some(lease), false) = (self.lease, alive.is_empty()) else {
+                    return self.ring_again(now, 300);
+                };
+                if (!away && !self.membership.is_in(&record)) || lost {
                     let next = Membership::next_record(&record, &alive);
                     let Ok(value) = serde_json::to_value(&next) else {
                         return self.ring_again(now, 300);
                     };
-                    let c = Commit {
+                    let mut c = Commit {
                         conditions: vec![(EPOCH_KEY.into(), mark)],
                         puts: vec![(EPOCH_KEY.into(), value, None)],
                         drops: Vec::new(),
                     };
+                    if away {
+                        c.puts.push(self.own_key(lease, true));
+                    }
                     return self.ask_store(Purpose::Raise(next), StoreRequest::Commit(c), out);
                 }
+                if away {
+                    return self.ask_store(Purpose::Renew(sent), StoreRequest::Renew(lease), out);
+                }
                 if record.epoch > self.membership.epoch {
                     self.adopt(now, &record, mark, out);
                 }
-                if record.epoch == self.membership.epoch
-                    && let Some(lease) = self.lease
-                {
+                if record.epoch == self.membership.epoch {
+                    // It came back before it had left: its place is still its own.
+                    self.membership.aside = false;
                     return self.ask_store(Purpose::Renew(sent), StoreRequest::Renew(lease), out);
                 }
                 self.ring_again(now, 300);
             }
             (Purpose::Raise(record), StoreAnswer::Committed(mark)) => {
-                self.adopt(now, &record, mark, out);
+                if self.membership.is_in(&record) {
+                    self.adopt(now, &record, mark, out);
+                } else {
+                    self.seen = Some((record, mark, now));
+                }
                 self.ring_again(now, 0);
             }
             (Purpose::Raise(_), StoreAnswer::Conflict(_)) => self.ring_again(now, 20),
@@ -118,6 +178,9 @@
 
     pub(super) fn adopt(&mut self, now: Micros, record: &EpochRecord, mark: u64, out: &mut Vec<Effect>) {
         let ring_before = self.membership.ring.clone();
+        self.membership.aside = self.aside.away().is_some();
+        self.aside.epoch(now);
+        self.strays.fill_with(Strays::default);
         let follows = self.membership.adopt(now, record, mark);
         tracing::info!(epoch = record.epoch, members = ?record.members.iter().map(|(n, _)| n).collect::<Vec<_>>(), follows, "epoch adopted");
         self.home.adopt(now, &self.membership, follows, |job| ring_before.owner(&format!("job/{job}")));
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -3,12 +3,26 @@
 use super::*;
 
 impl Node {
+    /// The newest epoch that others may take it from us that we know. One that has stepped aside says
+    /// so by naming the epoch without it: nobody need wait for its lease to end.
+    fn known_epoch(&self) -> (u64, Vec<u32>) {
+        if let (true, Some((record, ..))) = (self.membership.aside, &self.seen)
+            && record.epoch > self.membership.epoch
+            && !self.membership.is_in(record)
+        {
+            let number = |m: &(String, u64)| self.settings.members.iter().position(|n| *n == m.0);
+            return (record.epoch, record.members.iter().filter_map(number).map(|n| n as u32).collect());
+        }
+        (self.membership.epoch, self.membership.members.iter().map(|&m| m as u32).collect())
+    }
+
     pub(super) fn envelope(&self, now: Micros, to: usize, body: Message) -> Frame {
         let (echo_boot, echo) = self.clocks.get(to).copied().unwrap_or_default();
+        let (epoch, members) = self.known_epoch();
         Frame {
             from: self.settings.me as u32,
-            epoch: self.membership.epoch,
-            members: self.membership.members.iter().map(|&m| m as u32).collect(),
+            epoch,
+            members,
             clock: now,
             boot: self.boot,
             echo,
@@ -28,6 +42,7 @@
             self.clocks[from] = (f.boot, f.clock);
             let echo = if f.echo_boot == self.boot && f.echo <= now { f.echo } else { Micros(0) };
             self.membership.heard_from(from, f.epoch, echo);
+            self.aside.echo(from, echo);
             self.membership.told(now, f.epoch, &f.members);
             if f.epoch > self.membership.epoch {
                 self.next_ring = self.next_ring.min(now);
@@ -57,6 +72,12 @@
                 self.owner.keep(kept, kept_machines);
                 self.home.fleet(&drain.into_iter().collect(), &gone);
             }
+            Message::Strays(list) if same => {
+                let (home, m) = (&self.home, &self.membership);
+                let ours =
+                    list.into_iter().filter(|n| m.home(n) == Some(m.me) && home.is_gone(n) == Some(false));
+                self.aside.stray(now, ours);
+            }
             Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
             Message::Answer { id, reply } => {
                 if let Some((ticket, _)) = self.asked.remove(&id) {
@@ -71,7 +92,7 @@
     pub(super) fn say(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let period = self.settings.digest;
         let n = self.settings.members.len();
-        let active = self.load == Load::Done && self.membership.epoch > 0;
+        let active = self.load == Load::Done && self.membership.epoch > 0 && !self.membership.aside;
         let mut own = Vec::new();
         if !active {
             for p in (0..n).filter(|&p| p != self.settings.me) {
@@ -107,6 +128,12 @@
         }
         if now.since(self.sent_demands) >= period {
             self.sent_demands = now;
+            for p in 0..n {
+                let list = self.strays[p].report();
+                if !list.is_empty() {
+                    out.push(Effect::Send(p, self.envelope(now, p, Message::Strays(list))));
+                }
+            }
             for p in (0..n).filter(|&p| p != self.settings.me) {
                 let list = self.owner.reserved().to_vec();
                 out.push(Effect::Send(p, self.envelope(now, p, Message::Reserve(list))));
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -10,7 +10,14 @@
         r: &Report,
         out: &mut Vec<Effect>,
     ) -> Option<Reply> {
+        self.aside.worker(now, &r.machine);
         if let Some(reply) = self.not_home(now, &r.machine) {
+            // A worker that has had its home's answers and comes here doesn't get them any more. Its
+            // home is told, since it may hear no worker at all and not know that they live.
+            let home = self.membership.home(&r.machine).filter(|&h| h != self.settings.me);
+            if let Some(strays) = home.and_then(|h| self.strays.get_mut(h)) {
+                strays.visit(&r.machine, r.token == self.membership.epoch);
+            }
             return Some(reply);
         }
         match self.home.report(now, &self.membership, r) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -255,6 +255,8 @@
         /// The answer.
         reply: Reply,
     },
+    /// To a home: machines of its that turned up at the sender and were sent on.
+    Strays(Vec<String>),
     /// Only what every frame says: epoch and clocks.
     Beat,
 }
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -1,5 +1,7 @@
 //! The ring: members, the epoch (the workers' token), who owns what, and who may act.
 
+pub mod aside;
+
 use crate::settings::Settings;
 use crate::units::Micros;
 use serde::{Deserialize, Serialize};
@@ -86,6 +88,8 @@
     heard: Vec<(u64, Micros)>,
     /// A newer epoch's ring, known from peers only. It says whom to ask; it gives no right to act.
     hearsay: Option<(u64, Ring, Micros)>,
+    /// It has stepped aside: it leaves the ring by its own decision and acts no more.
+    pub aside: bool,
 }
 
 impl Membership {
@@ -105,6 +109,7 @@
             store_until: Micros(0),
             heard: vec![(0, Micros(0)); s.members.len()],
             hearsay: None,
+            aside: false,
         }
     }
 
@@ -138,6 +143,11 @@
         self.store_until = self.store_until.max(sent + self.member_lease.shortened());
     }
 
+    /// Whether the store's word alone entitles it to act.
+    pub fn store_confirms(&self, now: Micros) -> bool {
+        now < self.store_until
+    }
+
     /// The lease is gone.
     pub fn lease_lost(&mut self) {
         self.store_until = Micros(0);
@@ -192,15 +202,19 @@
     pub fn pass_machine_to(&self, machine: &str) -> Option<usize> {
         self.newest().owner_of("machine/", machine)
     }
+    /// The other members of the adopted epoch.
+    pub fn others(&self) -> impl Iterator<Item = usize> {
+        self.members.iter().copied().filter(|&p| p != self.me)
+    }
 
     /// Whether this controller may answer and command: by the store's word, or, when the store
     /// is silent, by that of every other controller. A controller can't tell an outage from a
     /// 503 of its own, hence *every* other one.
     pub fn may_act(&self, now: Micros) -> bool {
-        if self.epoch == 0 || !self.members.contains(&self.me) {
+        if self.epoch == 0 || self.aside || !self.members.contains(&self.me) {
             return false;
         }
-        if now < self.store_until {
+        if self.store_confirms(now) {
             return true;
         }
         self.heard.len() > 1
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -122,6 +122,7 @@
 #[derive(Debug)]
 enum What {
     Node(usize, u64, Event),
+    Effects(usize, u64, Vec<Effect>),
     StoreApply(usize, u64, u64, StoreRequest, bool),
     Cloud(usize, u64, CloudRequest),
     WorkerAnswer(usize, u64, Reply),
@@ -174,6 +175,8 @@
     back_at: Vec<u64>,
     drift: Vec<f64>,
     hung: Vec<u64>,
+    /// How likely it is that a controller stands still between deciding and doing.
+    stalls: f64,
     store: BTreeMap<String, (Value, u64, Option<u64>)>,
     leases: BTreeMap<u64, (u64, u64)>,
     revision: u64,
@@ -205,6 +208,7 @@
             back_at: vec![0; 3],
             drift,
             hung: vec![0; 3],
+            stalls: 0.0,
             store: BTreeMap::new(),
             leases: BTreeMap::new(),
             revision: 0,
@@ -277,12 +281,32 @@
             return self.later(delay, What::Node(n, boot, event));
         }
         let (now, wall) = (self.clock(n), Micros(self.now + 100_000 * n as u64));
+        let boot = self.boots[n];
         let Some(node) = self.nodes[n].as_mut() else { return };
         let mut out = Vec::new();
         node.step(now, wall, event, &mut out);
         node.reconcile(now, wall, &mut out);
+        if self.stalls > 0.0 && self.rng.random_bool(self.stalls) {
+            // It stands still just when all is decided, and goes on as if nothing had happened.
+            let long = self.rng.random_range(S / 2..3 * LEASE_S as u64 * S);
+            self.hung[n] = self.now + long;
+            self.log.push(format!(
+                "{:.1}: {n} stands still for {:.1}",
+                self.now as f64 / 1e6,
+                long as f64 / 1e6
+            ));
+            return self.later(long, What::Effects(n, boot, out));
+        }
+        self.effects(n, out);
+    }
+
+    fn effects(&mut self, n: usize, out: Vec<Effect>) {
+        let now = self.clock(n);
         for e in out {
-            self.effect(n, e);
+            let vetted = self.nodes[n].as_mut().and_then(|node| node.vetted(now, e));
+            if let Some(e) = vetted {
+                self.effect(n, e);
+            }
         }
     }
 
@@ -319,6 +343,10 @@
                 }
             },
             Effect::Cloud(r) => self.later(80_000, What::Cloud(n, boot, r)),
+            Effect::Probe(_) => {
+                let there = matches!(self.travel(End::Node(n), End::Workers), Some(d) if d < S);
+                self.later(S, What::Node(n, boot, Event::Probed(there)));
+            }
         }
     }
 
@@ -466,6 +494,11 @@
                 let a = self.cloud(&r);
                 self.later(80_000, What::Node(n, boot, Event::Cloud(r, a)));
             }
+            What::Effects(n, boot, out) => {
+                if boot == self.boots[n] {
+                    self.effects(n, out);
+                }
+            }
             What::WorkerAnswer(w, seq, reply) => self.worker_answer(w, seq, &reply),
             What::UserAnswer(t, reply) => {
                 if let Some(Ticket::User(id, kind)) = self.tickets.remove(&t)
@@ -879,10 +912,13 @@
         self.back_at[n] = self.now + self.rng.random_range(3 * S..9 * S);
     }
 
+    fn epoch(&self) -> u64 {
+        self.store["ring/epoch"].0["epoch"].as_u64().expect("a number")
+    }
+
     fn run(&mut self, troubles_until: u64, end: u64) {
-        let mut next_job = S;
-        let mut jobs = 0;
-        let mut next_trouble = 20 * S;
+        let mut next_job = self.now;
+        let mut next_trouble = self.now + 20 * S;
         while self.now < end {
             // Leases last their full time again once an outage is over.
             if self.outage_until > 0 && self.now >= self.outage_until {
@@ -901,9 +937,8 @@
                 }
                 self.drive_if_awake(n);
             }
-            if self.now >= next_job && jobs < self.shape.jobs {
-                jobs += 1;
-                self.add_job(jobs);
+            if self.now >= next_job && self.jobs.len() < self.shape.jobs as usize {
+                self.add_job(self.jobs.len() as u32 + 1);
                 next_job = self.now + self.rng.random_range(S..self.shape.pause);
             }
             if self.now >= next_trouble && self.now < troubles_until {
@@ -956,8 +991,19 @@
 }
 
 fn day(seed: u64, shape: Shape, troubles_until: u64, end: u64) -> World {
-    let mut w = World::new(seed, shape);
-    let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| w.run(troubles_until, end)));
+    play(seed, World::new(seed, shape), troubles_until, troubles_until, end)
+}
+
+fn play_until(w: &mut World, end: u64) {
+    w.run(0, end);
+}
+
+fn play(seed: u64, mut w: World, troubles_until: u64, stalls_until: u64, end: u64) -> World {
+    let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        w.run(troubles_until, stalls_until);
+        w.stalls = 0.0;
+        w.run(troubles_until, end);
+    }));
     if let Err(e) = r {
         eprintln!("seed {seed}, at {:.3} s: {:#?}", w.now as f64 / 1e6, w.log);
         std::panic::resume_unwind(e);
@@ -988,6 +1034,40 @@
     }
 }
 
+/// Controllers stand still between deciding and doing while their clocks run on, for half a second up
+/// to three leases of a worker, at any step, on top of all other troubles.
+#[test]
+fn the_rules_hold_when_controllers_stand_still_between_two_steps() {
+    for seed in 500..520 {
+        let mut w = World::new(seed, SMALL);
+        w.stalls = 0.0005;
+        let w = play(seed, w, 250 * S, 300 * S, 620 * S);
+        assert!(w.log.iter().any(|l| l.contains("stands still")));
+        assert!(w.finished().is_empty(), "seed {seed}: {:?} {:#?}", w.finished(), w.log);
+    }
+}
+
+/// The state service takes it for well and its workers can't reach it: it must leave in time for them
+/// to find another home within their lease, and come back once. Seen on sanaq-forms-ops.
+#[test]
+fn a_controller_cut_from_its_workers_alone_loses_none_of_them() {
+    for (seed, hold) in (0..10).map(|seed| (seed, seed % 2 == 0)) {
+        let mut w = World::new(700 + seed, Shape { machines: 24, room: 16, ..SMALL });
+        let n = seed as usize % 3;
+        let (from, until) = (60 * S, 110 * S);
+        play_until(&mut w, from);
+        let sessions: u64 = w.workers.iter().map(|w| w.session).sum();
+        let epoch = w.epoch();
+        w.cuts.push((End::Node(n), End::Workers, until, hold));
+        play_until(&mut w, until);
+        let lost = w.workers.iter().map(|w| w.session).sum::<u64>() - sessions;
+        assert_eq!(w.epoch(), epoch + 1, "seed {seed}: one change on leaving");
+        assert_eq!(lost, 0, "seed {seed}: leases that ran out");
+        play_until(&mut w, until + 40 * S);
+        assert_eq!(w.epoch(), epoch + 2, "seed {seed}: one on coming back");
+    }
+}
+
 /// Few steps, since each is checked, but hundreds of machines and thousands of tasks.
 #[test]
 fn the_rules_hold_at_the_grown_size() {
