Errors of one job on many machines blame the job, of several jobs on one machine the machine

Now a job that failed on three machines without a success is suspected: one task at growing pauses, no room made, kept or rented for it; what was held against machines for its sake is forgiven.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,9 +1,11 @@
 //! The owner side of jobs: records, where each task stands, starts and stops, gangs, takeover.
 
+mod blame;
 mod plan;
 mod records;
 mod sync;
 
+use self::blame::Blame;
 use crate::peer::{Demand, Phase, Reservation, Standing, TaskKey, Want};
 use crate::ring::Membership;
 use crate::settings::{Objective, Settings};
@@ -68,7 +70,6 @@
     gang: Option<Gang>,
     starts: u64,
     not_before: Micros,
-    failures: u32,
     /// The end it is to have, once the store has it.
     pub ending: Option<Final>,
     /// A change of its record is under way.
@@ -139,7 +140,7 @@
     pub loaded: bool,
     /// Something changed that may let a task be placed.
     pub replan: bool,
-    shunned: BTreeMap<String, (u32, Micros)>,
+    blame: Blame,
     demands: Vec<Demand>,
     gang_wait: Micros,
     objectives: Vec<Objective>,
@@ -188,7 +189,7 @@
             dirty: vec![true; n],
             loaded: false,
             replan: true,
-            shunned: BTreeMap::new(),
+            blame: Blame::default(),
             demands: Vec::new(),
             gang_wait: s.gang_wait,
             objectives: s.objectives.clone(),
@@ -209,7 +210,14 @@
     /// have owned them in between. Placed starts stay in doubt until their home has spoken.
     pub fn adopt(&mut self, m: &Membership, follows: bool) {
         self.loaded = false;
-        self.jobs.retain(|id, _| follows && m.job_owner(id) == Some(m.me));
+        let blame = &mut self.blame;
+        self.jobs.retain(|id, _| {
+            let stays = follows && m.job_owner(id) == Some(m.me);
+            if !stays {
+                blame.forget(id);
+            }
+            stays
+        });
         self.leftovers.retain(|(id, ..), _| follows && m.job_owner(id) == Some(m.me));
         self.finals.clear();
         self.finals_order.clear();
@@ -298,7 +306,6 @@
             gang: None,
             starts: 0,
             not_before: Micros(0),
-            failures: 0,
             ending: None,
             writing: false,
             verify: false,
@@ -328,6 +335,7 @@
     /// The job's end is on record: it is live no more, and what it left behind is cleared away.
     pub fn ended(&mut self, id: &str, f: Final) {
         let Some(j) = self.jobs.remove(id) else { return };
+        self.blame.forget(id);
         tracing::info!(job = id, end = ?f, tasks = j.spec.tasks, "job ended");
         self.remember_final(id, f, j.done.len());
         for (idx, p) in j.placed {
@@ -359,7 +367,6 @@
     /// A task has completed. A gang completes as a whole. Replicas of a service never do.
     fn complete(&mut self, id: &str, idx: u32) {
         let Some(j) = self.jobs.get_mut(id) else { return };
-        j.failures = 0;
         match j.spec.kind {
             Kind::Array => {
                 if idx < j.spec.tasks {
@@ -456,6 +463,10 @@
     pub fn all_homes_heard(&self, m: &Membership) -> bool {
         m.members.iter().all(|&h| self.views.get(h).is_some_and(|v| v.machines(m.epoch).is_some()))
     }
+    /// Jobs and machines that are suspected of failing everything.
+    pub fn suspects(&self, now: Micros) -> (Vec<&str>, Vec<&str>) {
+        self.blame.suspects(now)
+    }
     /// Started, waiting and total tasks of live jobs.
     pub fn counts(&self) -> (usize, usize, usize) {
         let placed = self.jobs.values().map(|j| j.placed.len()).sum();
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -113,7 +113,10 @@
             out.entry(j.spec.team.clone()).or_default().push(Need {
                 in_use: self.in_use(&id, j),
                 one: Room { memory: 0, ..j.spec.room },
-                more: left.saturating_sub(j.placed.len()) as i64,
+                more: match self.blame.suspected(&id) && j.spec.kind == Kind::Array {
+                    true => i64::from(j.placed.is_empty()),
+                    false => left.saturating_sub(j.placed.len()) as i64,
+                },
                 whole: j.spec.kind != Kind::Array,
                 job: id,
             });
@@ -157,10 +160,7 @@
             *p = (*p).max(r.priority);
         }
         for d in views.iter().filter_map(|v| v.machines(m.epoch)).flat_map(BTreeMap::values) {
-            if !d.open
-                || d.standing != Standing::Known
-                || self.shunned.get(&d.name).is_some_and(|s| now < s.1)
-            {
+            if !d.open || d.standing != Standing::Known || self.blame.shunned(now, &d.name) {
                 continue;
             }
             let of_type = self.kept_types.iter().filter(|(k, spot, _)| *k == d.kind && *spot == d.spot);
@@ -275,7 +275,8 @@
             let Some(j) = self.jobs.get(&id) else { continue };
             // Most jobs have all their tasks placed: they cost a look.
             let placed = j.done.len() as usize + j.placed.len();
-            if !j.settled || now < j.not_before || placed >= j.spec.tasks as usize {
+            let waits = now < j.not_before || self.blame.waits(now, &id);
+            if !j.settled || waits || placed >= j.spec.tasks as usize {
                 continue;
             }
             let spec = j.spec.clone();
@@ -296,8 +297,10 @@
                 still_there.insert(k.0);
             }
             // A machine that still has an old start of the job would refuse the task.
-            let old: BTreeSet<&str> =
+            let mut old: BTreeSet<&str> =
                 self.open_of(&id).filter(|(k, _)| !j.done.contains(k.0)).map(|(k, _)| k.1.as_str()).collect();
+            old.append(&mut self.blame.avoided(now, &id));
+            let suspected = self.blame.suspected(&id);
             let mut starts: Vec<(u32, usize)> = Vec::new();
             let mut unplaced = 0u32;
             let mut keeps = Vec::new();
@@ -320,6 +323,8 @@
                             starts.push((i as u32, pl));
                         }
                     }
+                    // A probe takes room that is there; none is made, kept or rented for it.
+                    None if suspected => continue,
                     None => {
                         unplaced = j.spec.tasks;
                         if !hopeless && old.is_empty() && !j.spec.spread {
@@ -347,7 +352,11 @@
                     }
                 }
             } else {
-                let allowed = claim_left.count_of(one).clamp(0, i64::from(u32::MAX)) as usize;
+                let mut allowed = claim_left.count_of(one).clamp(0, i64::from(u32::MAX)) as usize;
+                // A job that fails everywhere is tried with one task at a time.
+                if suspected {
+                    allowed = usize::from(j.placed.is_empty() && allowed > 0);
+                }
                 let left = (j.spec.tasks as usize).saturating_sub(j.done.len() as usize + j.placed.len());
                 let next: Vec<u32> = j
                     .done
--- a/src/jobs/sync.rs
+++ b/src/jobs/sync.rs
@@ -317,22 +317,17 @@
         let machine = p.machine.clone();
         if exit != Exit::Done {
             match exit {
-                Exit::Error | Exit::Unknown => {
-                    j.failures += 1;
-                    // A job that fails everywhere must not spin: each failure doubles the pause.
-                    let pause = 1000u64 << j.failures.min(6);
-                    j.not_before = now + Micros::from_millis(pause);
-                }
+                // A task that can't be started must not spin.
+                Exit::Error | Exit::Unknown => j.not_before = now + Micros::from_millis(1000),
                 Exit::NoRoom | Exit::Busy => j.not_before = now + Micros::from_millis(500),
                 _ => {}
             }
             tracing::debug!(job = id, task = idx, machine = %machine, why = ?exit, "task ended");
         }
-        if exit == Exit::Error {
-            let s = self.shunned.entry(machine.clone()).or_insert((0, now));
-            s.0 += 1;
-            // A faulty machine eats tasks: each error keeps it out of use for longer.
-            s.1 = now + Micros::from_millis(10_000u64 << s.0.min(5));
+        match exit {
+            Exit::Error => self.blame.error(now, id, &machine),
+            Exit::Done => self.blame.success(id, &machine),
+            _ => {}
         }
         self.unindex(&machine, id, idx);
         let done = exit == Exit::Done;
--- a/src/node.rs
+++ b/src/node.rs
@@ -364,6 +364,7 @@
     pub fn status(&mut self, now: Micros) -> Value {
         let m = &self.membership;
         let (jobs, placed, left) = self.owner.counts();
+        let (bad_jobs, bad_machines) = self.owner.suspects(now);
         let (known, machines) = self.home.counts();
         let teams: BTreeMap<&str, Value> = self
             .teams
@@ -381,6 +382,7 @@
             "machines_unheard": self.owner.unheard(),
             "home": {"machines": machines, "known": known},
             "jobs": {"live": jobs, "tasks_placed": placed, "tasks_left": left},
+            "suspected": {"jobs": bad_jobs, "machines": bad_machines},
             "teams": teams,
             "store": {"requests_left": self.requests.level(now), "writes_left": self.writes.level(now), "in_flight": self.in_flight.len()},
         })
