New jobs are accepted in place of an owner that does not answer, or may not answer yet

Cause: a submission was passed to the job's owner and got 503 after 1.5 s while that stood still, was silent or was being replaced. Anything but a new job is left to the owner.

Ruled out: the wait of a new owner for others (it now accepts meanwhile too).

--- a/src/node.rs
+++ b/src/node.rs
@@ -120,6 +120,14 @@
     wall: Micros,
 }
 
+/// A request passed to a peer.
+struct Asked {
+    /// Who waits for the answer, if anybody does.
+    ticket: Option<u64>,
+    at: Micros,
+    request: UserRequest,
+}
+
 /// One controller.
 pub struct Node {
     settings: Settings,
@@ -166,7 +174,9 @@
     accepting: BTreeMap<String, Accepting>,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
     withdrawing: BTreeMap<String, Vec<Origin>>,
-    asked: BTreeMap<u64, (u64, Micros)>,
+    asked: BTreeMap<u64, Asked>,
+    /// Jobs accepted in place of an owner that did not answer, and when it is next told.
+    standing_in: BTreeMap<String, Micros>,
     // Peers.
     clocks: Vec<(u64, Micros)>,
     /// Per controller: when it was last told our state, up to which change of our machines, which
@@ -221,6 +231,7 @@
             lookups: BTreeMap::new(),
             withdrawing: BTreeMap::new(),
             asked: BTreeMap::new(),
+            standing_in: BTreeMap::new(),
             clocks: vec![(0, Micros(0)); n],
             sent: vec![Micros(0); n],
             sent_seq: vec![0; n],
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -185,6 +185,8 @@
         tracing::info!(epoch = record.epoch, members = ?record.members.iter().map(|(n, _)| n).collect::<Vec<_>>(), follows, "epoch adopted");
         self.home.adopt(now, &self.membership, follows, |job| ring_before.owner(&format!("job/{job}")));
         self.owner.adopt(&self.membership, follows);
+        // All records are read again, by everybody.
+        self.standing_in.clear();
         self.teams.unread();
         self.roll.unread();
         self.acked.fill(0);
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -80,8 +80,11 @@
             }
             Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
             Message::Answer { id, reply } => {
-                if let Some((ticket, _)) = self.asked.remove(&id) {
-                    out.push(Effect::Reply(ticket, reply));
+                if let Some(a) = self.asked.remove(&id) {
+                    if reply.status == 200 {
+                        self.standing_in.remove(a.request.job());
+                    }
+                    out.extend(a.ticket.map(|t| Effect::Reply(t, reply)));
                 }
             }
             _ => {}
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -17,22 +17,18 @@
             None => Reply::later("no ring yet"),
             Some(o) if o != self.settings.me => match from {
                 Origin::Ticket(t) if self.asked.len() < WAITING_LIMIT => {
-                    let id = self.fresh_id();
-                    self.asked.insert(id, (t, now));
-                    out.push(Effect::Send(o, self.envelope(now, o, Message::Ask { id, request: r })));
-                    return;
+                    return self.pass_on(now, o, Some(t), r, out);
                 }
                 _ => Reply::later("busy, or the job has moved"),
             },
-            // A job's owner answers only while nobody else can be giving answers as its owner.
-            Some(_)
-                if !(self.membership.may_act(now)
-                    && self.membership.job_owner(r.job()) == Some(self.settings.me)
-                    && self.owner.loaded
-                    && self.membership.others_have_stopped(now)) =>
-            {
-                Reply::later("taking over")
-            }
+            Some(_) if !self.answers_for(now, r.job()) => match &r {
+                // A new job can be put on record all the same: the record must not exist yet.
+                UserRequest::Submit(id, body) => match self.accept_unseen(now, from, id, body, out) {
+                    true => return,
+                    false => Reply::later("taking over"),
+                },
+                _ => Reply::later("taking over"),
+            },
             Some(_) => match self.own_request(now, from, r, out) {
                 Some(reply) => reply,
                 None => return,
@@ -41,6 +37,57 @@
         self.reply(now, from, reply, out);
     }
 
+    /// A job's owner answers only while nobody else can be giving answers as its owner.
+    fn answers_for(&self, now: Micros, job: &str) -> bool {
+        self.membership.may_act(now)
+            && self.membership.job_owner(job) == Some(self.settings.me)
+            && self.owner.loaded
+            && self.membership.others_have_stopped(now)
+    }
+
+    fn pass_on(
+        &mut self,
+        now: Micros,
+        to: usize,
+        ticket: Option<u64>,
+        request: UserRequest,
+        out: &mut Vec<Effect>,
+    ) {
+        let id = self.fresh_id();
+        out.push(Effect::Send(to, self.envelope(now, to, Message::Ask { id, request: request.clone() })));
+        self.asked.insert(id, Asked { ticket, at: now, request });
+    }
+
+    /// Accepts a job without having seen whether it is known: its owner does not answer, or may not yet
+    /// answer itself. That is safe because acceptance needs nothing but the record, which is written on
+    /// condition of the epoch and of there being no record of the job. Anything but a new job is left
+    /// to the owner. Says whether the request was taken.
+    fn accept_unseen(
+        &mut self,
+        now: Micros,
+        from: Origin,
+        id: &str,
+        body: &str,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        if let Some(a) = self.accepting.get_mut(id) {
+            a.origins.push(from);
+            return true;
+        }
+        if !self.membership.may_act(now) || self.fleet.types.is_empty() || self.writes.level(now) < 0.2 {
+            return false;
+        }
+        let raw: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        let Ok(spec) = Spec::from_value(&raw) else { return false };
+        if spec.check(&self.fleet.types, &self.settings.teams).is_err() {
+            return false;
+        }
+        if let Some(reply) = self.accept(now, from, id.to_owned(), spec, raw, out) {
+            self.reply(now, from, reply, out);
+        }
+        true
+    }
+
     pub(super) fn known(&self, id: &str) -> Option<Reply> {
         if let Some((stance, done, running)) = self.owner.stance(id) {
             return Some(Reply::json(
@@ -152,7 +199,10 @@
         match a {
             StoreAnswer::Committed(mark) => {
                 tracing::info!(job = %id, class = %acc.spec.class, team = %acc.spec.team, tasks = acc.spec.tasks, epoch, "job accepted");
-                if self.membership.job_owner(&id) == Some(self.settings.me) {
+                if self.membership.job_owner(&id) != Some(self.settings.me) {
+                    // Its owner reads the record when it is asked about the job, or in the next epoch.
+                    self.standing_in.insert(id.clone(), now);
+                } else {
                     // Written under an epoch that has passed, it may have been another's since.
                     let fresh = epoch == self.membership.epoch;
                     if fresh || !self.owner.loaded {
@@ -163,7 +213,9 @@
                     self.reply(now, o, Reply::json(201, &json!({"uid": id, "stance": "pending"})), out);
                 }
             }
-            StoreAnswer::Conflict(keys) if !keys.iter().any(|k| k == EPOCH_KEY) => {
+            StoreAnswer::Conflict(keys)
+                if !keys.iter().any(|k| k == EPOCH_KEY) && self.answers_for(now, &id) =>
+            {
                 // It was accepted before; the store tells how it stands.
                 let waiting = acc.origins.into_iter().map(|o| (o, UserRequest::Query(id.clone())));
                 self.lookups.entry(id.clone()).or_default().extend(waiting);
@@ -210,17 +262,47 @@
         }
     }
 
-    /// Requests passed to a peer that has not answered: the user is told to come back.
+    /// Requests passed to a peer that has not answered: a submission is taken in its place, others are
+    /// told to come back. Owners in whose place jobs were accepted are told until they know them.
     pub(super) fn overdue(&mut self, now: Micros, out: &mut Vec<Effect>) {
-        let late: Vec<u64> = self
+        // An answer takes a few hundredths of a second. Users of new jobs wait for no more than that.
+        let patience = Micros(self.settings.digest.0 / 4);
+        let late = |a: &Asked| now.since(a.at) >= Micros::from_millis(1500);
+        let slow: Vec<u64> = self
             .asked
             .iter()
-            .filter(|(_, (_, t))| now.since(*t) >= Micros::from_millis(1500))
+            .filter(|(_, a)| {
+                let new = a.ticket.is_some() && matches!(a.request, UserRequest::Submit(..));
+                late(a) || (new && now.since(a.at) >= patience)
+            })
             .map(|(id, _)| *id)
             .collect();
-        for id in late {
-            if let Some((ticket, _)) = self.asked.remove(&id) {
+        for id in slow {
+            let Some(a) = self.asked.remove(&id) else { continue };
+            let Some(ticket) = a.ticket else { continue };
+            if let UserRequest::Submit(job, body) = &a.request
+                && self.accept_unseen(now, Origin::Ticket(ticket), job, body, out)
+            {
+                continue;
+            }
+            if late(&a) {
                 out.push(Effect::Reply(ticket, Reply::later("the job's owner does not answer")));
+            } else {
+                self.asked.insert(id, a);
+            }
+        }
+        let due: Vec<String> =
+            self.standing_in.iter().filter(|(_, t)| now >= **t).map(|(id, _)| id.clone()).collect();
+        for job in due {
+            match self.membership.job_owner(&job) {
+                Some(o) if o != self.settings.me && self.asked.len() < WAITING_LIMIT => {
+                    self.standing_in.insert(job.clone(), now + Micros::from_millis(1000));
+                    self.pass_on(now, o, None, UserRequest::Query(job), out);
+                }
+                Some(o) if o != self.settings.me => {}
+                _ => {
+                    self.standing_in.remove(&job);
+                }
             }
         }
     }
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -799,6 +799,16 @@
         }
     }
 
+    fn submit_to(&mut self, n: usize, id: &str) {
+        self.serial += 1;
+        let ticket = self.serial;
+        let j = self.jobs.get_mut(id).expect("a job");
+        (j.latest, j.submitted) = (ticket, true);
+        let request = UserRequest::Submit(id.into(), j.body.clone());
+        self.tickets.insert(ticket, Ticket::User(id.into(), 's'));
+        self.later(1000, What::Node(n, 0, Event::User(ticket, request)));
+    }
+
     fn user_answer(&mut self, id: &str, kind: char, r: &Reply) {
         assert!(r.status != 400 && r.status != 422 && r.status != 409, "{id}: {r:?}");
         if r.status == 503 {
@@ -1068,6 +1078,33 @@
     }
 }
 
+/// The owner of a new job stands still; whoever gets the submission takes it at once, and the owner
+/// runs the job when it goes on.
+#[test]
+fn a_new_job_is_accepted_while_its_owner_stands_still() {
+    let mut w = World::new(800, Shape { jobs: 0, ..SMALL });
+    play_until(&mut w, 30 * S);
+    let owner = |w: &World, id: &str| w.nodes[0].as_ref().and_then(|n| n.membership.job_owner(id));
+    let mut n = 1000;
+    let id = loop {
+        w.add_job(n);
+        let id = format!("wk-{:06}", n * 7919 % 1_000_000);
+        if owner(&w, &id) == Some(1) {
+            break id;
+        }
+        w.jobs.remove(&id);
+        n += 1;
+    };
+    w.jobs.get_mut(&id).expect("added").next = u64::MAX;
+    w.hung[1] = w.now + 4 * S;
+    w.submit_to(0, &id);
+    play_until(&mut w, 31 * S);
+    assert_eq!(w.jobs[&id].known, Known::Accepted, "within a second");
+    let boots = w.boots.clone();
+    play_until(&mut w, 90 * S);
+    assert_eq!((w.boots, w.jobs[&id].done.len()), (boots, w.jobs[&id].spec.tasks as usize));
+}
+
 /// Few steps, since each is checked, but hundreds of machines and thousands of tasks.
 #[test]
 fn the_rules_hold_at_the_grown_size() {
