Teams without a guarantee leave headroom and give back what work within a guarantee needs

Now work of teams with a guarantee stands above all other; others leave the emptiest ordinary machines, a fifth of the guarantees, free; and where work within a guarantee finds no room all the same, theirs is stopped, the newest first. Ruled out: renting more, since everything was rented.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -659,7 +659,7 @@
         let free: i64 = open().map(|d| d.free.cpus.max(0)).sum();
         let used: i64 = open().map(|d| d.total.cpus).sum::<i64>() - free;
         // Where little runs, little is kept free, and nothing where nothing runs.
-        let lacking = (self.guaranteed / 5).min(used / 4) - free;
+        let lacking = crate::jobs::headroom(self.guaranteed, used) - free;
         (lacking > 0).then(|| Demand {
             room: largest,
             kinds: Vec::new(),
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,5 +1,7 @@
 //! The owner side of jobs: records, where each task stands, starts and stops, gangs, takeover.
 
+pub use plan::headroom;
+
 mod blame;
 mod plan;
 mod records;
@@ -18,6 +20,10 @@
 /// Finals kept in memory; older ones are read from the store.
 const FINALS: usize = 2000;
 
+/// Work of teams with a guarantee stands above all other work, whatever its priority: this much is added.
+/// What other teams run may be stopped to give a team its guarantee, so it also makes room.
+pub const GUARANTEED: u8 = 10;
+
 /// How a job ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Final {
@@ -144,12 +150,16 @@
     demands: Vec<Demand>,
     gang_wait: Micros,
     objectives: Vec<Objective>,
+    /// What each team is guaranteed, of those that are guaranteed anything.
+    guaranteed: BTreeMap<String, Room>,
     /// Machines kept for our waiting work.
     reserved: Vec<Reservation>,
     /// The same of other owners, and when they said so.
     others: BTreeMap<usize, (Micros, Vec<Reservation>)>,
     /// When tasks were last stopped on a machine to make room.
     evicted: BTreeMap<String, Micros>,
+    /// Machines on which room is being asked back, and since when.
+    reclaiming: BTreeMap<String, Micros>,
     /// Types that the decider leaves to urgent work.
     kept_types: Vec<(String, bool, u8)>,
     /// The same for single machines.
@@ -193,9 +203,16 @@
             demands: Vec::new(),
             gang_wait: s.gang_wait,
             objectives: s.objectives.clone(),
+            guaranteed: s
+                .teams
+                .iter()
+                .filter(|t| t.cpus > 0.0 || t.gpus > 0.0)
+                .map(|t| (t.name.clone(), Room::need(t.cpus, t.gpus, 0.0)))
+                .collect(),
             reserved: Vec::new(),
             others: BTreeMap::new(),
             evicted: BTreeMap::new(),
+            reclaiming: BTreeMap::new(),
             kept_types: Vec::new(),
             kept_machines: BTreeMap::new(),
             steered: false,
@@ -288,6 +305,10 @@
         mark: u64,
         fresh: bool,
     ) {
+        let mut spec = spec;
+        if self.guaranteed.contains_key(&spec.team) {
+            spec.priority += GUARANTEED;
+        }
         let id = spec.id.clone();
         if let Some(j) = self.jobs.get_mut(&id) {
             j.mark = j.mark.max(mark);
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -9,6 +9,24 @@
 /// Starts in one placement pass, which bounds the time a pass takes.
 pub(super) const STARTS_A_PASS: usize = 400;
 
+/// Machines on which room is asked back at a time.
+const RECLAIMED: usize = 60;
+
+/// How long that may take until the room is free.
+const RECLAIM_TIME: Micros = Micros::from_millis(8_000);
+
+/// Work within a guarantee that finds no room.
+struct Short {
+    spec: Spec,
+    count: u32,
+}
+
+/// Room to keep free for guarantees that add up to `all`, while `used` is in use (thousandths of a
+/// processor): where little runs, little, and nothing where nothing runs.
+pub fn headroom(all: i64, used: i64) -> i64 {
+    (all / 5).min(used / 4)
+}
+
 impl Owner {
     /// How long a job's tasks may queue before a machine is worth renting for them: not at all
     /// where a guarantee or a waiting time is promised, otherwise a part of the time in which the
@@ -262,6 +280,8 @@
         }
         let views = std::mem::take(&mut self.views);
         let mut places = self.places(now, m, &views);
+        self.leave_headroom(&mut places);
+        let mut short: Vec<Short> = Vec::new();
         // Shapes for which no machine has room left: nothing as large is looked for again.
         let mut full: Vec<Spec> = Vec::new();
         let mut budget = STARTS_A_PASS;
@@ -378,6 +398,9 @@
                     }
                 }
                 budget -= at.len();
+                if unplaced > 0 && !suspected && self.within_guarantee(teams, j) {
+                    short.push(Short { spec: j.spec.clone(), count: unplaced });
+                }
                 starts.extend(next.into_iter().zip(at));
             }
             if unplaced > 0 {
@@ -429,10 +452,91 @@
                 j.placed.insert(idx, p);
             }
         }
+        self.reclaim(now, &places, short);
         drop(places);
         self.views = views;
     }
 
+    /// Leaves a part of the ordinary machines, the emptiest, to work with a guarantee: that is promised
+    /// a start at once, and what others run may go on for long.
+    fn leave_headroom(&self, places: &mut [Place]) {
+        let waits =
+            |j: &Job| j.spec.priority < GUARANTEED && (j.placed.len() as u32) < j.spec.tasks - j.done.len();
+        if self.guaranteed.is_empty() || !self.jobs.values().any(waits) {
+            return;
+        }
+        let used: i64 = places.iter().map(|p| p.machine.total.cpus - p.free.cpus).sum();
+        let all: i64 = self.guaranteed.values().map(|g| g.cpus).sum();
+        let mut lacking = headroom(all, used);
+        let mut at: Vec<usize> = (0..places.len()).filter(|&i| !places[i].machine.spot).collect();
+        at.sort_by_key(|&i| (std::cmp::Reverse(places[i].free.cpus), &places[i].machine.name));
+        for i in at {
+            if lacking <= 0 {
+                break;
+            }
+            lacking -= places[i].free.cpus.max(0);
+            places[i].kept_for = places[i].kept_for.max(Some(GUARANTEED));
+        }
+    }
+
+    /// Whether a job fits into its team's guarantee together with the team's earlier jobs. Jobs of other
+    /// owners count as earlier.
+    fn within_guarantee(&self, teams: &Teams, j: &Job) -> bool {
+        let Some(guarantee) = self.guaranteed.get(&j.spec.team) else { return false };
+        let later = self
+            .jobs
+            .iter()
+            .filter(|(_, k)| k.spec.team == j.spec.team && k.accepted_wall > j.accepted_wall)
+            .fold(Room::default(), |a, (id, k)| a + teams.claimed(&k.spec.team, id));
+        let used = teams.used(&j.spec.team) - later;
+        used.cpus <= guarantee.cpus && (guarantee.gpus == 0 || used.gpus <= guarantee.gpus)
+    }
+
+    /// Asks for the room that teams without a guarantee have taken, where work within one finds none.
+    fn reclaim(&mut self, now: Micros, places: &[Place], short: Vec<Short>) {
+        // Room that was asked for takes a report or two to come free. Without a memory of that, each
+        // pass would empty other machines.
+        self.reclaiming.retain(|_, t| now.since(*t) < RECLAIM_TIME);
+        if short.is_empty() {
+            return;
+        }
+        // What there will be once all that can be stopped is gone.
+        let after = |p: &Place| {
+            let stays = p.machine.by_priority.iter().filter(|(r, _)| *r >= GUARANTEED);
+            stays.fold(p.machine.total, |a, (_, r)| a - *r)
+        };
+        let mut at: Vec<(bool, i64, usize)> = places
+            .iter()
+            .enumerate()
+            .map(|(i, p)| {
+                let new = !self.reclaiming.contains_key(&p.machine.name);
+                (new, p.free.cpus - p.free_for(GUARANTEED).cpus, i)
+            })
+            .filter(|(new, taken, _)| !new || *taken < 0)
+            .collect();
+        at.sort_unstable();
+        let mut at = at.into_iter().take(RECLAIMED);
+        for s in short {
+            let mut left = i64::from(s.count);
+            while left > 0 {
+                let Some((.., i)) = at.next() else { return };
+                let p = &places[i];
+                let n = after(p).count_of(s.spec.room).min(left);
+                if n <= 0 || !p.allowed(&s.spec) {
+                    continue;
+                }
+                left -= n;
+                self.reclaiming.entry(p.machine.name.clone()).or_insert(now);
+                self.reserved.push(Reservation {
+                    machine: p.machine.name.clone(),
+                    priority: s.spec.priority,
+                    need: s.spec.room.times(n),
+                    evict: true,
+                });
+            }
+        }
+    }
+
     /// Stops tasks that can save on machines that the cloud is about to take, so that their progress
     /// is not lost. Tasks that never save may as well go on: some end in time.
     pub(super) fn save_before_loss(&mut self, now: Micros, m: &Membership) {
@@ -554,14 +658,18 @@
         .into_values()
         .filter(|at| at.len() >= s.tasks as usize)
         .map(|at| {
+            // Where the least stays that can't be stopped, then where the least has to go.
+            let stoppable = s.priority.min(GUARANTEED);
             let key = |&i: &usize| {
-                (!before.contains(&places[i].machine.name), -places[i].free.cpus.min(s.room.cpus), i)
+                let p = &places[i];
+                let after = -p.free_for(stoppable).cpus.min(s.room.cpus);
+                (!before.contains(&p.machine.name), after, -p.free.cpus.min(s.room.cpus), i)
             };
-            let mut at: Vec<(bool, i64, usize)> = at.iter().map(key).collect();
+            let mut at: Vec<(bool, i64, i64, usize)> = at.iter().map(key).collect();
             at.sort_unstable();
             at.truncate(s.tasks as usize);
             let kept = at.iter().filter(|(new, ..)| !new).count();
-            let free: i64 = at.iter().map(|(_, missing, _)| -missing).sum();
+            let free: i64 = at.iter().map(|(_, after, missing, _)| -missing - after).sum();
             (kept, free, at.into_iter().map(|(.., i)| i).collect::<Vec<_>>())
         })
         .max_by_key(|(kept, free, _)| (*kept, *free));
--- a/src/node.rs
+++ b/src/node.rs
@@ -307,6 +307,7 @@
             return Some(effect);
         }
         match effect {
+            // Never a user's answer that may be out of date by now, nor a command.
             Effect::Reply(t, r) if (200..300).contains(&r.status) => {
                 Some(Effect::Reply(t, Reply::later("not entitled to act any more")))
             }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -34,6 +34,9 @@
                 None => return,
             },
         };
+        if reply.status >= 429 {
+            tracing::debug!(status = reply.status, reason = %reply.body, "request refused");
+        }
         self.reply(now, from, reply, out);
     }
 
@@ -286,6 +289,7 @@
                 continue;
             }
             if late(&a) {
+                tracing::debug!(job = a.request.job(), "request refused: its owner does not answer");
                 out.push(Effect::Reply(ticket, Reply::later("the job's owner does not answer")));
             } else {
                 self.asked.insert(id, a);
--- a/src/teams.rs
+++ b/src/teams.rs
@@ -116,6 +116,16 @@
             (n.as_str(), t.guarantee, used)
         })
     }
+    /// What one job has claimed on record.
+    pub fn claimed(&self, team: &str, job: &str) -> Room {
+        self.teams.get(team).and_then(|t| t.claims.get(job)).copied().unwrap_or_default()
+    }
+    /// What all jobs of a team have claimed.
+    pub fn used(&self, team: &str) -> Room {
+        self.teams
+            .get(team)
+            .map_or(Room::default(), |t| t.claims.values().fold(Room::default(), |a, &b| a + b))
+    }
     /// A new epoch: records must be read anew.
     pub fn unread(&mut self) {
         for t in self.teams.values_mut() {
--- a/src/units.rs
+++ b/src/units.rs
@@ -72,6 +72,10 @@
     pub fn max(self, o: Room) -> Room {
         Room { cpus: self.cpus.max(o.cpus), gpus: self.gpus.max(o.gpus), memory: self.memory.max(o.memory) }
     }
+    /// The smaller of each.
+    pub fn min(self, o: Room) -> Room {
+        Room { cpus: self.cpus.min(o.cpus), gpus: self.gpus.min(o.gpus), memory: self.memory.min(o.memory) }
+    }
     /// `n` times this.
     pub fn times(self, n: i64) -> Room {
         Room { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
