--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -84,6 +84,15 @@
                     if reply.status == 200 {
                         self.standing_in.remove(a.request.job());
                     }
+                    // An owner that has spent its share of the write budget is helped out by one that
+                    // has not.
+                    if let (503, Some(t), UserRequest::Submit(job, body)) =
+                        (reply.status, a.ticket, &a.request)
+                        && self.writes.level(now) >= 0.5
+                        && self.accept_unseen(now, Origin::Ticket(t), job, body, out)
+                    {
+                        return;
+                    }
                     out.extend(a.ticket.map(|t| Effect::Reply(t, reply)));
                 }
             }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -65,7 +65,7 @@
     /// answer itself. That is safe because acceptance needs nothing but the record, which is written on
     /// condition of the epoch and of there being no record of the job. Anything but a new job is left
     /// to the owner. Says whether the request was taken.
-    fn accept_unseen(
+    pub(super) fn accept_unseen(
         &mut self,
         now: Micros,
         from: Origin,
