--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -224,6 +224,7 @@
     /// A machine that has been silent for longer is given back.
     silence: Micros,
     next_plan: Micros,
+    next_note: Micros,
 }
 
 impl Fleet {
@@ -259,6 +260,7 @@
             // By then its tasks' lease has run out, and one that only hung had time to come back.
             silence: Micros(s.worker_lease.0 * 2),
             next_plan: Micros(0),
+            next_note: Micros(0),
         }
     }
 
@@ -392,6 +394,19 @@
         let all = members.iter().all(|m| self.demands.contains_key(m));
         self.steers = all || now.since(since) > Micros::from_millis(2000);
         self.keep(now, machines);
+        if tracing::enabled!(tracing::Level::DEBUG) && now >= self.next_note {
+            self.next_note = now + Micros::from_millis(5000);
+            let open = machines.iter().filter(|d| d.open);
+            let (total, free) =
+                open.fold((0, 0), |(t, f), d| (t + d.total.cpus / 1000, f + d.free.cpus.max(0) / 1000));
+            let demands = self.fresh_demands(now);
+            let queued: f64 = demands
+                .iter()
+                .map(|d| f64::from(d.count) * d.room.cpus as f64 / 1000.0 * d.estimate.secs())
+                .sum();
+            let spares = self.spare.len();
+            tracing::debug!(machines = machines.len(), coming = self.coming.len(), cpus = total, free, queued_cpu_s = queued as i64, reserve = self.reserve.len(), kept = ?self.kept, spares, "fleet");
+        }
         let returns = self.returns(now, &by_name, since);
         if !returns.is_empty() {
             return self.out(CloudRequest::Return(returns));
@@ -418,7 +433,9 @@
         let mut out = Vec::new();
         self.shrink(now, machines);
         // Room kept for guarantees is of use only while there is work at all.
-        let quiet = machines.values().all(|d| d.busy == 0 && d.idle_for(now) > Micros::from_millis(20_000));
+        // Machines that are gone are named until the next epoch and say nothing about that.
+        let there = || machines.values().filter(|d| d.standing != Standing::Gone);
+        let quiet = there().all(|d| d.busy == 0 && d.idle_for(now) > Micros::from_millis(20_000));
         let mut drain = BTreeSet::new();
         for d in machines.values() {
             if d.standing == Standing::Gone || self.gone.contains_key(&d.name) {
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -47,7 +47,7 @@
     pub(super) fn patience(&self, s: &Spec) -> Micros {
         let promised = self.objectives.iter().filter(|o| o.kind == "wait" && o.class == s.class);
         let within = promised.map(|o| Micros::from_secs(o.within_s).0).min().unwrap_or(60_000_000);
-        Micros(within / 4)
+        Micros(within / 10)
     }
 
     pub(super) fn note_shape(&mut self, now: Micros, s: &Spec) {
@@ -663,13 +663,14 @@
             let key = |&i: &usize| {
                 let p = &places[i];
                 let after = -p.free_for(stoppable).cpus.min(s.room.cpus);
-                (!before.contains(&p.machine.name), after, -p.free.cpus.min(s.room.cpus), i)
+                let fetch = !p.machine.images.contains(&s.image_hash);
+                (!before.contains(&p.machine.name), after, fetch, -p.free.cpus.min(s.room.cpus), i)
             };
-            let mut at: Vec<(bool, i64, i64, usize)> = at.iter().map(key).collect();
+            let mut at: Vec<(bool, i64, bool, i64, usize)> = at.iter().map(key).collect();
             at.sort_unstable();
             at.truncate(s.tasks as usize);
             let kept = at.iter().filter(|(new, ..)| !new).count();
-            let free: i64 = at.iter().map(|(_, after, missing, _)| -missing - after).sum();
+            let free: i64 = at.iter().map(|(_, after, _, missing, _)| -missing - after).sum();
             (kept, free, at.into_iter().map(|(.., i)| i).collect::<Vec<_>>())
         })
         .max_by_key(|(kept, free, _)| (*kept, *free));
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -132,7 +132,7 @@
 /// Names of returned machines remembered.
 const RETURNED: usize = 5000;
 /// Images remembered a machine.
-const IMAGES: usize = 12;
+const IMAGES: usize = 32;
 /// Most commands in one answer.
 const COMMANDS_AN_ANSWER: usize = 500;
 
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -72,8 +72,11 @@
         })
         .map(|(i, p)| {
             let left = p.free - s.room;
-            // Among equally full ones, the one that need not fetch the image.
-            ((left.gpus, left.cpus, !p.machine.images.contains(&s.image_hash), left.memory), i)
+            // Among equally full ones, the one that need not fetch the image. Where a task takes a
+            // machine for itself all are as good as equally full.
+            let fetch = !p.machine.images.contains(&s.image_hash);
+            let alone = p.machine.total.count_of(s.room) == 1;
+            ((alone && fetch, left.gpus, left.cpus, fetch, left.memory), i)
         })
         .collect();
     at.sort_unstable();
