--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -592,7 +592,7 @@
     fn shrink(&mut self, now: Micros, machines: &BTreeMap<&str, &Seen>) {
         self.spare.retain(|n| machines.contains_key(n.as_str()) && !self.gone.contains_key(n));
         let demands = self.fresh_demands(now);
-        for d in demands.iter().filter(|d| d.count > 0 && d.horizon.0 > 0 && d.estimate.0 > 0) {
+        for d in demands.iter().filter(|d| d.horizon.0 > 0 && d.estimate.0 > 0) {
             let (_, estimate, horizon) = self.usual.get_or_insert((d.room, d.estimate, d.horizon));
             *estimate = Micros((estimate.0 * 7 + d.estimate.0) / 8);
             *horizon = Micros((horizon.0 * 63 / 64).max(d.horizon.0));
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -50,7 +50,9 @@
         Micros(within / 10)
     }
 
-    pub(super) fn note_shape(&mut self, now: Micros, s: &Spec) {
+    /// Remembers what a job asks for, with what its tasks are likely to run and how long they may queue:
+    /// a decider that has just taken over must know that although nothing waits.
+    pub(super) fn note_shape(&mut self, now: Micros, s: &Spec, horizon: Micros) {
         let d = Demand {
             room: s.room,
             kinds: s.kinds.clone(),
@@ -58,9 +60,9 @@
             one_zone: s.one_zone,
             spot: s.spot,
             count: 0,
-            estimate: Micros(0),
+            estimate: likely(&self.ran, s),
             priority: s.priority,
-            horizon: Micros(0),
+            horizon,
             together: if s.kind == Kind::Gang { s.tasks } else { 1 },
         };
         // Of each sort the largest: jobs whose tasks differ a little must not crowd out the rest.
@@ -74,6 +76,8 @@
             *t = now;
             x.room = x.room.max(d.room);
             x.together = x.together.max(d.together);
+            x.estimate = Micros((x.estimate.0 * 7 + d.estimate.0) / 8);
+            x.horizon = x.horizon.max(d.horizon);
         } else if self.shapes.len() < 100 {
             self.shapes.push((d, now));
         }
@@ -300,7 +304,8 @@
                 continue;
             }
             let spec = j.spec.clone();
-            self.note_shape(now, &spec);
+            let whole = self.horizon(j, teams.guaranteed(&spec.team), Micros(0));
+            self.note_shape(now, &spec, whole);
             let Some(j) = self.jobs.get(&id) else { continue };
             let age = wall.since(j.accepted_wall);
             let one = j.spec.room;
