--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -565,8 +565,9 @@
             let n = at_hand(d).min(fits.len() / part);
             let mut zones: BTreeMap<&str, Vec<(bool, i64, &str)>> = BTreeMap::new();
             for x in fits {
-                let lower = x.by_priority.iter().filter(|(p, _)| *p < d.priority);
-                let could = lower.fold(x.free, |a, (_, r)| a + *r).holds(d.room);
+                // What is being stopped counts as gone, or it would lose its place while it is emptied.
+                let stays = x.by_priority.iter().filter(|(p, _)| *p >= d.priority);
+                let could = stays.fold(x.total, |a, (_, r)| a - *r).holds(d.room);
                 if could && !self.drain.contains(&x.name) && !out.contains_key(&x.name) {
                     let zone = if d.one_zone { x.zone.as_str() } else { "" };
                     let new = !self.reserve.contains_key(&x.name);
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -186,9 +186,11 @@
                 continue;
             }
             let of_type = self.kept_types.iter().filter(|(k, spot, _)| *k == d.kind && *spot == d.spot);
+            let unseen = unseen.get(d.name.as_str()).copied().unwrap_or_default();
             out.push(Place {
                 machine: d,
-                free: d.free - unseen.get(d.name.as_str()).copied().unwrap_or_default(),
+                free: d.free - unseen,
+                unseen,
                 kept_for: of_type
                     .map(|t| t.2)
                     .max()
@@ -344,7 +346,7 @@
                 match at.flatten() {
                     Some(at) => {
                         for (i, &pl) in at.iter().enumerate() {
-                            places[pl].free = places[pl].free - one;
+                            places[pl].take(one);
                             starts.push((i as u32, pl));
                         }
                     }
@@ -505,11 +507,6 @@
         if short.is_empty() {
             return;
         }
-        // What there will be once all that can be stopped is gone.
-        let after = |p: &Place| {
-            let stays = p.machine.by_priority.iter().filter(|(r, _)| *r >= GUARANTEED);
-            stays.fold(p.machine.total, |a, (_, r)| a - *r)
-        };
         let mut at: Vec<(bool, i64, usize)> = places
             .iter()
             .enumerate()
@@ -526,7 +523,7 @@
             while left > 0 {
                 let Some((.., i)) = at.next() else { return };
                 let p = &places[i];
-                let n = after(p).count_of(s.spec.room).min(left);
+                let n = p.free_for(GUARANTEED).count_of(s.spec.room).min(left);
                 if n <= 0 || !p.allowed(&s.spec) {
                     continue;
                 }
@@ -684,7 +681,7 @@
     for i in at {
         places[i].kept_for = places[i].kept_for.max(Some(s.priority));
         // A second gang must not count on the same room.
-        places[i].free = places[i].free - s.room;
+        places[i].take(s.room);
         names.push(places[i].machine.name.clone());
     }
     names
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -12,6 +12,8 @@
     pub machine: &'a MachineDigest,
     /// Free room.
     pub free: Room,
+    /// What the owner has asked for since, which the machine's home has not seen.
+    pub unseen: Room,
     /// Kept for waiting work of at least this priority.
     pub kept_for: Option<u8>,
 }
@@ -24,9 +26,16 @@
             && s.zone.as_ref().is_none_or(|z| *z == self.machine.zone)
             && self.machine.total.holds(s.room)
     }
-    /// Room there would be without tasks of lower priority than this.
+    /// Room here is spoken for.
+    pub fn take(&mut self, room: Room) {
+        self.free = self.free - room;
+        self.unseen = self.unseen + room;
+    }
+    /// Room there will be once tasks of lower priority than this are gone, and those that are being
+    /// stopped already: a machine that is being emptied must not look fuller than one that is not.
     pub fn free_for(&self, priority: u8) -> Room {
-        self.machine.by_priority.iter().filter(|(p, _)| *p < priority).fold(self.free, |a, (_, r)| a + *r)
+        let stays = self.machine.by_priority.iter().filter(|(p, _)| *p >= priority);
+        stays.fold(self.machine.total - self.unseen, |a, (_, r)| a - *r)
     }
 }
 
@@ -84,7 +93,7 @@
     for (_, i) in at {
         let zone = &places[i].machine.zone;
         while out.len() < n && places[i].free.holds(s.room) && zone_allows(s, counts, zone) {
-            places[i].free = places[i].free - s.room;
+            places[i].take(s.room);
             *counts.entry(zone.clone()).or_default() += 1;
             out.push(i);
         }
@@ -163,7 +172,10 @@
     }
 
     fn places(machines: &[MachineDigest]) -> Vec<Place<'_>> {
-        machines.iter().map(|d| Place { machine: d, free: d.free, kept_for: None }).collect()
+        machines
+            .iter()
+            .map(|d| Place { machine: d, free: d.free, unseen: Room::default(), kept_for: None })
+            .collect()
     }
 
     #[test]
@@ -188,6 +200,29 @@
         }
     }
 
+    /// Seen on sanaq-forms-ops: while a kept machine's tasks were being stopped it seemed to have no room
+    /// to make, so the gang kept others and had those emptied too, for half a minute.
+    #[test]
+    fn a_machine_that_is_being_emptied_counts_as_empty() {
+        let mut m = machine("i".into(), "a", false, 0.0, 16.0);
+        m.by_priority = vec![(2, Room::need(6.0, 0.0, 1.0))];
+        let mut p = places(std::slice::from_ref(&m)).remove(0);
+        assert_eq!(p.free_for(2).cpus, 10_000, "six stay, the rest is free or being stopped");
+        assert_eq!(p.free_for(3).cpus, 16_000);
+        p.take(Room::need(4.0, 0.0, 1.0));
+        assert_eq!(p.free_for(2).cpus, 6_000, "what is spoken for is not there twice");
+    }
+
+    /// Where a task takes a machine for itself, fetching an image is all that differs.
+    #[test]
+    fn whole_machines_with_the_image_go_first() {
+        let s = spec("group", 2, false, false);
+        let mut machines: Vec<_> = (0..4).map(|i| machine(format!("i-{i}"), "a", false, 3.0, 3.0)).collect();
+        machines[1].images = vec![s.image_hash];
+        machines[3].images = vec![s.image_hash];
+        assert_eq!(gang(&s, &places(&machines), &ZoneCounts::new(), |_| true), Some(vec![1, 3]));
+    }
+
     /// Filling machine after machine must come to the same as choosing the fullest for each task.
     #[test]
     fn each_task_goes_where_it_leaves_the_machine_fullest() {
