--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -47,7 +47,7 @@
     pub(super) fn patience(&self, s: &Spec) -> Micros {
         let promised = self.objectives.iter().filter(|o| o.kind == "wait" && o.class == s.class);
         let within = promised.map(|o| Micros::from_secs(o.within_s).0).min().unwrap_or(60_000_000);
-        Micros(within / 10)
+        Micros(within / 40)
     }
 
     /// Remembers what a job asks for, with what its tasks are likely to run and how long they may queue:
