--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -225,6 +225,8 @@
     silence: Micros,
     next_plan: Micros,
     next_note: Micros,
+    /// Rented machines that are not counted on any more.
+    pub overdue: BTreeSet<String>,
 }
 
 impl Fleet {
@@ -261,6 +263,7 @@
             silence: Micros(s.worker_lease.0 * 2),
             next_plan: Micros(0),
             next_note: Micros(0),
+            overdue: BTreeSet::new(),
         }
     }
 
@@ -706,8 +709,22 @@
         // Room on its way: rented by us, or listed as booting.
         let mut coming: Vec<(String, String, bool, Room)> = Vec::new();
         let mut seen = BTreeSet::new();
+        // One that takes twice as long as promised may never come, so it is replaced; but only a few at a
+        // time, or a surge would be rented twice when all of them are late.
+        let most = (machines.len() / 10).max(2);
+        let mut overdue: BTreeSet<String> = BTreeSet::new();
+        let mut late = |name: &String, age: Micros, boot: Micros| {
+            let late = age.0 > boot.0 * 2 && overdue.len() < most;
+            if late {
+                overdue.insert(name.clone());
+            }
+            late
+        };
         for (n, c) in &self.coming {
             seen.insert(n.clone());
+            if late(n, now.since(c.since), self.boot_time(&c.kind)) {
+                continue;
+            }
             coming.push((c.kind.clone(), c.zone.clone(), c.spot, self.room(&c.kind).unwrap_or_default()));
         }
         for l in self.listed.iter().flat_map(|l| l.values()) {
@@ -715,10 +732,15 @@
                 && !machines.contains_key(l.name.as_str())
                 && !seen.contains(&l.name)
                 && !self.gone.contains_key(&l.name)
+                && !late(&l.name, Micros::from_secs(l.age_s), self.boot_time(&l.kind))
             {
                 coming.push((l.kind.clone(), l.zone.clone(), l.spot, self.room(&l.kind).unwrap_or_default()));
             }
         }
+        if overdue != self.overdue {
+            tracing::info!(machines = ?overdue, "machines overdue: rented, and twice their boot time has passed");
+            self.overdue = overdue;
+        }
         let usable: Vec<(String, String, bool, Room)> = machines
             .values()
             .filter(|d| d.open && !self.reserve.contains_key(&d.name))
@@ -971,6 +993,29 @@
         assert_eq!(f.spare.len(), 1);
     }
 
+    /// Met by on-call: one machine that never came up held up the work it was rented for until it was
+    /// given back. All of them late at once must not be rented again.
+    #[test]
+    fn a_machine_that_does_not_come_is_replaced_but_not_a_whole_surge() {
+        for (rented, replaced) in [(1u64, 1), (20, 2)] {
+            let mut f = fleet(vec![]);
+            let waits = Demand { count: 8 * rented as u32, ..shape(4.0, false, 1) };
+            let since = Micros(1_000_000);
+            for i in 0..rented {
+                let c = Coming { kind: "large".into(), zone: "a".into(), spot: false, since };
+                f.coming.insert(format!("i-{i}"), c);
+            }
+            let mut rent = |s: u64| {
+                let now = Micros(s * 1_000_000);
+                f.demand(now, 0, vec![waits.clone()]);
+                f.rent(now, &BTreeMap::new()).map(|r| (r.kind, r.count))
+            };
+            assert_eq!(rent(50), None, "boots take 40 s");
+            let room = rent(90).map(|(kind, n)| n * if kind == "large" { 8 } else { 1 });
+            assert_eq!(room, Some(8 * replaced), "{rented} rented");
+        }
+    }
+
     #[test]
     fn a_rental_without_an_answer_is_repeated_under_its_name() {
         let mut f = fleet(vec![]);
--- a/src/node.rs
+++ b/src/node.rs
@@ -395,6 +395,7 @@
             "home": {"machines": machines, "known": known},
             "jobs": {"live": jobs, "tasks_placed": placed, "tasks_left": left},
             "suspected": {"jobs": bad_jobs, "machines": bad_machines},
+            "overdue": self.fleet.overdue,
             "teams": teams,
             "store": {"requests_left": self.requests.level(now), "writes_left": self.writes.level(now), "in_flight": self.in_flight.len()},
         })
