--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -1,7 +1,10 @@
-//! Messages between controllers that build on something their receiver does not hold.
+//! What must not count: messages that build on something their receiver does not hold, and decisions
+//! that rest on a right which has run out.
 
+use hazelsaddle::fleet::CloudRequest;
 use hazelsaddle::machines::{Home, Report};
-use hazelsaddle::peer::{Digest, TaskKey, Want, Wanted, Wishes};
+use hazelsaddle::node::{Effect, Node};
+use hazelsaddle::peer::{Digest, Reply, TaskKey, Want, Wanted, Wishes};
 use hazelsaddle::ring::{EpochRecord, Membership};
 use hazelsaddle::settings::Settings;
 use hazelsaddle::units::{Micros, Room};
@@ -9,12 +12,16 @@
 
 const EPOCH: u64 = 3;
 
-fn home() -> (Membership, Home) {
+fn settings() -> Settings {
     let text = "member = \"c0\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\n\
         state = \"10.0.0.9:2\"\n[settings.workers]\nreport_s = 3.0\nlease_s = 18.0\ngang_wait_s = 30.0\n\
         gang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\nwrite_rps = 15.0\nvalue_kb = 4.0\n\
         txn_ops = 8\n[settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n";
-    let s = Settings::parse("test", text).expect("valid");
+    Settings::parse("test", text).expect("valid")
+}
+
+fn home() -> (Membership, Home) {
+    let s = settings();
     let mut m = Membership::new(&s, 1);
     m.adopt(Micros(1), &EpochRecord { epoch: EPOCH, members: vec![("c0".into(), 1)] }, 1);
     let mut home = Home::new(&s);
@@ -65,3 +72,27 @@
     assert_eq!(view.take(Micros(9), EPOCH, gap), None);
     assert_eq!(view.seq(EPOCH), digest.seq, "the sender goes on building on what is held");
 }
+
+/// A process may stand still between a decision and its effect while its lease runs out. Found missing
+/// when on-call met controllers that froze for seconds.
+#[test]
+fn what_rests_on_a_right_that_has_run_out_is_taken_back() {
+    let at = |s: u64| Micros(s * 1_000_000);
+    let mut node = Node::new(settings(), 1);
+    node.membership.adopt(at(1), &EpochRecord { epoch: EPOCH, members: vec![("c0".into(), 1)] }, 1);
+    node.membership.confirmed_by_store(at(1));
+    node.reconcile(at(2), at(2), &mut Vec::new());
+    let status = |e: Option<Effect>| match e {
+        Some(Effect::Reply(7, r)) => Some((r.status, r.retry_after)),
+        other => panic!("{other:?}"),
+    };
+    let answer = |code| Effect::Reply(7, Reply::json(code, &serde_json::json!({"rein": EPOCH, "calls": []})));
+    let give_back = || Effect::Cloud(CloudRequest::Return(vec!["i-1".into()]));
+    assert_eq!(status(node.vetted(at(2), answer(200))), Some((200, None)));
+    assert!(node.vetted(at(2), give_back()).is_some());
+    // A lease of six seconds has run out; nothing has happened in between.
+    assert_eq!(status(node.vetted(at(30), answer(200))), Some((503, Some(1))));
+    assert_eq!(status(node.vetted(at(30), answer(201))), Some((503, Some(1))));
+    assert_eq!(status(node.vetted(at(30), answer(421))), Some((421, None)), "this needs no right");
+    assert!(node.vetted(at(30), give_back()).is_none());
+}
