--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,6 +17,8 @@
 const READERS: usize = 4;
 /// Threads that wait for the state service.
 const STORE_THREADS: usize = 4;
+/// How long an answer of the state service is waited for, beside the time that a watch stays open.
+const STORE_PATIENCE: Duration = Duration::from_millis(2000);
 /// Events that wait for the controller's thread; requests beyond that are turned away at once.
 const QUEUE: usize = 2000;
 /// Events taken between two rounds of reconciling.
@@ -116,11 +118,13 @@
 
     let (store_tx, store_rx) = unbounded::<(u64, StoreRequest)>();
     let (ring_tx, ring_rx) = unbounded::<(u64, StoreRequest)>();
-    let lines = std::iter::repeat_n(store_rx, STORE_THREADS).chain(std::iter::once(ring_rx));
+    // A watch stays open for long; it must hold up nothing else.
+    let (watch_tx, watch_rx) = unbounded::<(u64, StoreRequest)>();
+    let lines = std::iter::repeat_n(store_rx, STORE_THREADS).chain([ring_rx, watch_rx]);
     for line in lines {
         let (tx, addr) = (first_tx.clone(), settings.state);
         std::thread::spawn(move || {
-            let client = StoreClient::new(addr, Duration::from_millis(2000));
+            let client = StoreClient::new(addr, STORE_PATIENCE);
             while let Ok((id, r)) = line.recv() {
                 let a = client.call(&r);
                 if tx.send(Inbound::Event(Event::Store(id, a))).is_err() {
@@ -200,7 +204,12 @@
                     }
                 }
                 Effect::Store(id, r, ring) => {
-                    let _ = if ring { ring_tx.send((id, r)) } else { store_tx.send((id, r)) };
+                    let line = match &r {
+                        StoreRequest::Watch(..) => &watch_tx,
+                        _ if ring => &ring_tx,
+                        _ => &store_tx,
+                    };
+                    let _ = line.send((id, r));
                 }
                 Effect::Cloud(r) => {
                     let _ = cloud_tx.send(r);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -3,11 +3,13 @@
 pub use plan::headroom;
 
 mod blame;
+mod follow;
 mod plan;
 mod records;
 mod sync;
 
 use self::blame::Blame;
+use self::follow::Waiting;
 use crate::peer::{Demand, Phase, Reservation, Standing, TaskKey, Want};
 use crate::ring::Membership;
 use crate::settings::{Objective, Settings};
@@ -83,6 +85,12 @@
     /// Its record's version must be read again first.
     pub verify: bool,
     next_write: Micros,
+    /// Jobs that it needs and that are not known to be done.
+    waits_for: BTreeSet<String>,
+    /// When the last of those was known to be done.
+    released_wall: Option<Micros>,
+    /// Its priority by its own rank and its team's guarantee.
+    rank: u8,
     /// Machines kept for it while it waits. They stay the same ones: a choice that moved on with
     /// every pass would empty one machine after another.
     keeps: Vec<String>,
@@ -147,6 +155,7 @@
     /// Something changed that may let a task be placed.
     pub replan: bool,
     blame: Blame,
+    waiting: Waiting,
     demands: Vec<Demand>,
     gang_wait: Micros,
     objectives: Vec<Objective>,
@@ -200,6 +209,7 @@
             loaded: false,
             replan: true,
             blame: Blame::default(),
+            waiting: Waiting::default(),
             demands: Vec::new(),
             gang_wait: s.gang_wait,
             objectives: s.objectives.clone(),
@@ -235,6 +245,7 @@
             }
             stays
         });
+        self.keep_waiting();
         self.leftovers.retain(|(id, ..), _| follows && m.job_owner(id) == Some(m.me));
         self.finals.clear();
         self.finals_order.clear();
@@ -316,8 +327,6 @@
             return;
         }
         let job = Job {
-            spec,
-            raw,
             accepted_wall,
             mark,
             settled: fresh || (self.loaded && self.unheard.is_empty()),
@@ -331,12 +340,23 @@
             writing: false,
             verify: false,
             next_write: Micros(0),
+            waits_for: spec.follows.iter().cloned().collect(),
+            released_wall: follow::released_at(&raw),
+            rank: spec.priority,
             keeps: Vec::new(),
+            spec,
+            raw,
         };
-        self.jobs.insert(id, job);
+        self.jobs.insert(id.clone(), job);
+        self.note_waiting(&id);
         self.replan = true;
     }
 
+    /// The time of day, for what happens between placing passes.
+    pub fn note_time(&mut self, wall: Micros) {
+        self.wall = self.wall.max(wall);
+    }
+
     /// The end of a job, if it is remembered.
     pub fn final_of(&self, id: &str) -> Option<(Final, u32)> {
         self.finals.get(id).copied()
@@ -355,7 +375,10 @@
 
     /// The job's end is on record: it is live no more, and what it left behind is cleared away.
     pub fn ended(&mut self, id: &str, f: Final) {
+        // Whoever waits for it must hear even if it was not ours any more: the store has its end.
+        self.prerequisite_ended(id, f);
         let Some(j) = self.jobs.remove(id) else { return };
+        self.forget_waiting(id, &j);
         self.blame.forget(id);
         tracing::info!(job = id, end = ?f, tasks = j.spec.tasks, "job ended");
         self.remember_final(id, f, j.done.len());
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -88,14 +88,15 @@
     /// age. When there is far more work than room, arrays of one such group go by what they have
     /// left instead: being late with few large jobs beats being late with all.
     pub(super) fn order(&self) -> Vec<String> {
-        let arrays = || self.jobs.values().filter(|j| j.spec.kind == Kind::Array && j.ending.is_none());
+        let arrays =
+            || self.jobs.values().filter(|j| j.spec.kind == Kind::Array && j.ending.is_none() && !j.waits());
         let work: u64 = arrays().map(|j| self.left(j)).sum();
         let running: usize = arrays().map(|j| j.placed.len()).sum();
         let queue = Micros(work / running.max(1) as u64);
         let mut ids: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.ending.is_none())
+            .filter(|(_, j)| j.ending.is_none() && !j.waits())
             .map(|(id, j)| {
                 let (late, left) = if j.spec.kind == Kind::Array { self.standing(j, queue) } else { (0, 0) };
                 ((std::cmp::Reverse(j.spec.priority), late, left, j.accepted_wall), id)
@@ -114,10 +115,12 @@
     /// long for what was promised, how much it has left.
     fn standing(&self, j: &Job, queue: Micros) -> (u8, u64) {
         let run = likely(&self.ran, &j.spec).0;
-        let soonest = self.wall.since(j.accepted_wall).0 + run;
+        let soonest = self.wall.since(j.ready_wall()).0 + run;
         let finished = self.objectives.iter().filter(|o| o.kind == "finished" && o.class == j.spec.class);
         let mut promised: Vec<u64> = finished.map(|o| Micros::from_secs(o.within_s).0).collect();
-        promised.extend(j.spec.deadline.map(|d| d.0));
+        // Deadlines count from the submission, however long the job waited for others.
+        let waited = j.ready_wall().since(j.accepted_wall);
+        promised.extend(j.spec.deadline.map(|d| d.since(waited).0));
         let late = promised.iter().filter(|&&p| soonest > p).count();
         let crowded = promised.iter().min().is_some_and(|&p| queue.0 > p / 2);
         (late.min(250) as u8, if crowded { self.left(j) } else { 0 })
@@ -143,8 +146,9 @@
                 job: id,
             });
         }
-        // Jobs that are to end get no more, but keep what they use.
-        for (id, j) in self.jobs.iter().filter(|(_, j)| j.ending.is_some()) {
+        // Jobs that are to end get no more, but keep what they use. Those that wait for others use
+        // nothing, except after a takeover that has yet to see what an earlier owner saw.
+        for (id, j) in self.jobs.iter().filter(|(_, j)| j.ending.is_some() || j.waits()) {
             if teams.limited(&j.spec.team) {
                 out.entry(j.spec.team.clone()).or_default().push(Need {
                     job: id.clone(),
@@ -299,6 +303,11 @@
         self.shapes.retain(|(_, t)| now.since(*t) < Micros::from_millis(300_000));
         for id in self.order() {
             let Some(j) = self.jobs.get(&id) else { continue };
+            // Guards against a start before all that the job needs is done: whatever else may have
+            // put it in the queue, nothing of it is placed.
+            if j.waits() {
+                continue;
+            }
             // Most jobs have all their tasks placed: they cost a look.
             let placed = j.done.len() as usize + j.placed.len();
             let waits = now < j.not_before || self.blame.waits(now, &id);
@@ -309,7 +318,7 @@
             let whole = self.horizon(j, teams.guaranteed(&spec.team), Micros(0));
             self.note_shape(now, &spec, whole);
             let Some(j) = self.jobs.get(&id) else { continue };
-            let age = wall.since(j.accepted_wall);
+            let age = wall.since(j.ready_wall());
             let one = j.spec.room;
             let claim = teams.claim(&j.spec.team, &id);
             let in_use = self.in_use(&id, j);
@@ -467,8 +476,11 @@
     /// Leaves a part of the ordinary machines, the emptiest, to work with a guarantee: that is promised
     /// a start at once, and what others run may go on for long.
     fn leave_headroom(&self, places: &mut [Place]) {
-        let waits =
-            |j: &Job| j.spec.priority < GUARANTEED && (j.placed.len() as u32) < j.spec.tasks - j.done.len();
+        let waits = |j: &Job| {
+            j.spec.priority < GUARANTEED
+                && !j.waits()
+                && (j.placed.len() as u32) < j.spec.tasks - j.done.len()
+        };
         if self.guaranteed.is_empty() || !self.jobs.values().any(waits) {
             return;
         }
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -5,7 +5,7 @@
 impl Owner {
     /// Reads a job's record.
     pub fn read_record(v: &Value) -> Option<(Value, Spec, Micros, Ranges)> {
-        let raw = v.get("spec")?.clone();
+        let raw = follow::restored(v.get("spec")?)?;
         let spec = Spec::from_value(&raw).ok()?;
         let accepted = Micros(v.get("accepted_us")?.as_u64()?);
         let done = Ranges::decode(v.get("done")?.as_str()?, spec.tasks)?;
@@ -17,6 +17,20 @@
         json!({"spec": raw, "accepted_us": accepted.0, "done": done})
     }
 
+    /// The record of a job that waits for others.
+    pub fn waiting_record(raw: &Value, accepted: Micros) -> Value {
+        Owner::record(&follow::held(raw), accepted, "")
+    }
+
+    /// A live job's description as it is to be stored.
+    fn stored_raw(j: &Job) -> Value {
+        match (j.waits(), j.released_wall) {
+            (true, _) => follow::held(&j.raw),
+            (false, Some(at)) => follow::released(&j.raw, at),
+            (false, None) => j.raw.clone(),
+        }
+    }
+
     /// The next change of a job's record that is due: ends first, then progress.
     pub fn next_write(&mut self, now: Micros, ends: bool) -> Option<(String, RecordWrite, u64)> {
         for (id, j) in &mut self.jobs {
@@ -35,15 +49,18 @@
                     return Some((id.clone(), RecordWrite::End(f, value), j.mark));
                 }
             } else if j.ending.is_none() && j.done.len() > j.durable.len() && now >= j.next_write {
-                let raw_len = j.raw.to_string().len();
+                let raw = Owner::stored_raw(j);
+                let raw_len = raw.to_string().len();
                 let text = j.done.encode(self.value_bytes.saturating_sub(raw_len + 200));
                 let kept = Ranges::decode(&text, j.spec.tasks).unwrap_or_default();
-                if kept == j.durable {
+                // A description from before the limits fell may fill a value by itself: its progress stays
+                // with the workers until its end, which is short, is on record.
+                if kept == j.durable || raw_len + 60 > self.value_bytes {
                     j.next_write = now + Micros::from_millis(5000);
                     continue;
                 }
                 j.writing = true;
-                let value = Owner::record(&j.raw, j.accepted_wall, &text);
+                let value = Owner::record(&raw, j.accepted_wall, &text);
                 return Some((id.clone(), RecordWrite::Progress(value, kept), j.mark));
             }
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,11 +3,13 @@
 //! drive the code that runs.
 
 mod epochs;
+mod follow;
 mod links;
 mod records;
 mod users;
 mod workers;
 
+use self::follow::Follow;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
 use crate::machines::{Home, Report, Verdict};
@@ -16,12 +18,12 @@
 use crate::ring::{EpochRecord, Membership};
 use crate::roll::{self, PageWrite, Roll};
 use crate::settings::Settings;
-use crate::spec::Spec;
+use crate::spec::{Kind, Spec};
 use crate::store::{Budget, Commit, Row, StoreAnswer, StoreRequest};
 use crate::teams::{ClaimWrite, Teams};
 use crate::units::{Micros, Ranges};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Where the epoch record is kept.
 const EPOCH_KEY: &str = "ring/epoch";
@@ -32,6 +34,8 @@
 /// A gap between two rounds from which on this process is taken to have stood still. Rounds are a
 /// tenth of a second apart.
 const PAUSE: Micros = Micros::from_millis(1000);
+/// Waiting jobs, and jobs that each waits for, named in the status.
+const SHOWN: usize = 20;
 /// Workers tried in one probe.
 const PROBED: usize = 3;
 
@@ -102,6 +106,13 @@
     ReadPage(u64, u32),
     Claim(ClaimWrite),
     ReadTeam(String),
+    NoteForms,
+    Revision,
+    Watch,
+    ReadEnd(String),
+    Check(String, String),
+    CheckEnd(String, String),
+    Refuse(String, String),
 }
 
 /// What is read at the beginning of an epoch.
@@ -118,6 +129,8 @@
     spec: Spec,
     raw: Value,
     wall: Micros,
+    /// Jobs that it follows and that are not yet known to have been accepted.
+    unknown: BTreeSet<String>,
 }
 
 /// A request passed to a peer.
@@ -172,6 +185,7 @@
     next_team_plan: Micros,
     // Users.
     accepting: BTreeMap<String, Accepting>,
+    follow: Follow,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
     withdrawing: BTreeMap<String, Vec<Origin>>,
     asked: BTreeMap<u64, Asked>,
@@ -228,6 +242,7 @@
             store_pause: Micros(0),
             next_team_plan: Micros(0),
             accepting: BTreeMap::new(),
+            follow: Follow::default(),
             lookups: BTreeMap::new(),
             withdrawing: BTreeMap::new(),
             asked: BTreeMap::new(),
@@ -361,6 +376,7 @@
         {
             out.push(Effect::Cloud(r));
         }
+        self.follow_loop(now, out);
         self.say(now, out);
         self.held_reports(now, out);
         self.overdue(now, out);
@@ -378,6 +394,12 @@
         let (jobs, placed, left) = self.owner.counts();
         let (bad_jobs, bad_machines) = self.owner.suspects(now);
         let (known, machines) = self.home.counts();
+        let waiting = self.owner.waiting_jobs();
+        let shown = |j: &&crate::jobs::Job| {
+            let on: Vec<&str> = j.waits_for().take(SHOWN).collect();
+            json!({"job": j.spec.id, "waits_for": on, "for_s": self.wall.since(j.accepted_wall).secs()})
+        };
+        let oldest: Vec<Value> = waiting.iter().take(SHOWN).map(shown).collect();
         let teams: BTreeMap<&str, Value> = self
             .teams
             .list()
@@ -394,6 +416,8 @@
             "machines_unheard": self.owner.unheard(),
             "home": {"machines": machines, "known": known},
             "jobs": {"live": jobs, "tasks_placed": placed, "tasks_left": left},
+            "waiting": {"jobs": waiting.len(), "oldest": oldest},
+            "takes_follows": self.takes_follows(),
             "suspected": {"jobs": bad_jobs, "machines": bad_machines},
             "overdue": self.fleet.overdue,
             "teams": teams,
@@ -418,9 +442,9 @@
     Some((f, v.get("done").and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok()).unwrap_or(0)))
 }
 
-/// Only the fields of a description that are read.
-fn trimmed(raw: &Value) -> Value {
-    const KEPT: [&str; 20] = [
+/// Only the fields of a description that are read, and each job that it follows once.
+fn trimmed(raw: &Value, spec: &Spec) -> Value {
+    const KEPT: [&str; 21] = [
         "uid",
         "breed",
         "herd",
@@ -441,7 +465,14 @@
         "restS",
         "unsaddleS",
         "dueS",
+        "follows",
     ];
     let Some(map) = raw.as_object() else { return Value::Null };
-    map.iter().filter(|(k, _)| KEPT.contains(&k.as_str())).map(|(k, v)| (k.clone(), v.clone())).collect()
+    let kept = map.iter().filter(|(k, _)| KEPT.contains(&k.as_str()));
+    let mut kept: serde_json::Map<String, Value> = kept.map(|(k, v)| (k.clone(), v.clone())).collect();
+    match spec.follows.is_empty() {
+        true => kept.remove("follows"),
+        false => kept.insert("follows".into(), json!(spec.follows)),
+    };
+    Value::Object(kept)
 }
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -22,10 +22,10 @@
 
     /// The key that shows that this process lives, and whether it wants a place on the ring.
     fn own_key(&self, lease: u64, aside: bool) -> (String, Value, Option<u64>) {
-        let value = match aside {
-            true => json!({"boot": self.boot, "aside": true}),
-            false => json!({"boot": self.boot}),
-        };
+        let mut value = json!({"boot": self.boot, "reads": follow::FORM});
+        if aside {
+            value["aside"] = true.into();
+        }
         (format!("ring/m/{}", self.settings.member), value, Some(lease))
     }
 
@@ -101,6 +101,7 @@
                 let Some((record, mark, _)) = self.seen.clone() else {
                     return self.ring_again(now, 300);
                 };
+                self.note_forms(&rows, out);
                 // Those that have stepped aside live, but want no place.
                 let mut alive: Vec<(String, u64)> = rows
                     .iter()
--- /dev/null
+++ b/src/node/follow.rs
@@ -0,0 +1,335 @@
+//! Jobs that wait for others, at the edge of a controller: who may take them, checking what they name,
+//! and watching for ends.
+
+use super::*;
+
+/// The newest form of peers' frames that this version reads; it says so in its member's value.
+/// Version 1 says nothing. Form 2 adds `Message::Needed`, and prerequisites in submissions.
+pub(super) const FORM: u64 = 2;
+/// Says that every controller has read form 2 at one time, so that one that is merely away need not
+/// be waited for. It lies among the members' keys, which are read anyway; the first version skips it,
+/// since it is no member's name.
+pub(super) const FORMS_KEY: &str = "ring/m/*";
+/// How long a watch stays open. One whose answer is lost on the way costs that much and a little more.
+const WATCH: Micros = Micros::from_millis(2_000);
+/// Ids remembered as accepted, so that a retry that follows a refusal gets further than it did.
+const KNOWN: usize = 5000;
+/// Most jobs that one may name: as many as can be looked up in the time that a user waits.
+pub(super) const MOST: usize = 250;
+
+/// How far the ends of jobs have been watched.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) enum Watch {
+    /// Nothing waits.
+    #[default]
+    Off,
+    /// The store is asked for its revision.
+    Asking,
+    /// All changes up to this revision have been seen; whether the next are being waited for.
+    At(u64, bool),
+}
+
+/// What this controller knows beside its waiting jobs.
+#[derive(Default)]
+pub(super) struct Follow {
+    pub(super) watch: Watch,
+    retry: Micros,
+    /// Jobs that were found to be accepted and no services.
+    known: BTreeSet<String>,
+    /// Per controller, its process and the newest form that it reads, by its member's value.
+    forms: Vec<(u64, u64)>,
+    /// Whether all have read form 2 at one time, by the record of that.
+    all_once: bool,
+    noting: bool,
+    /// Controllers that were last sent a list of needs that is not empty.
+    sent: BTreeSet<usize>,
+}
+
+impl Node {
+    /// Takes note of the forms that controllers read, from the members' values.
+    pub(super) fn note_forms(&mut self, rows: &[Row], out: &mut Vec<Effect>) {
+        let f = &mut self.follow;
+        let reads = |r: &Row| r.value.get("reads").and_then(Value::as_u64).unwrap_or(1);
+        f.forms = vec![(0, 0); self.settings.members.len()];
+        for r in rows {
+            if r.key == FORMS_KEY {
+                f.all_once |= reads(r) >= FORM;
+            }
+            let name = r.key.strip_prefix("ring/m/");
+            let number = name.and_then(|n| self.settings.members.iter().position(|m| m == n));
+            if let (Some(n), Some(boot)) = (number, r.value.get("boot").and_then(Value::as_u64)) {
+                f.forms[n] = (boot, reads(r));
+            }
+        }
+        if !f.all_once && !f.noting && f.forms.iter().all(|(_, form)| *form >= FORM) {
+            f.noting = true;
+            tracing::info!(form = FORM, "every controller reads the new form");
+            let c = Commit {
+                puts: vec![(FORMS_KEY.into(), json!({ "reads": FORM }), None)],
+                ..Commit::default()
+            };
+            self.ask_store(Purpose::NoteForms, StoreRequest::Commit(c), out);
+        }
+    }
+
+    pub(super) fn forms_noted(&mut self, done: bool) {
+        self.follow.noting = false;
+        self.follow.all_once |= done;
+    }
+
+    /// Whether jobs that wait for others may be taken: no controller of the first version is there, and
+    /// none has yet to be replaced. One would run such a job at once, or take it without its list.
+    pub(super) fn takes_follows(&self) -> bool {
+        let f = &self.follow;
+        f.all_once && f.forms.iter().all(|(_, form)| *form == 0 || *form >= FORM)
+    }
+
+    /// Whether the process behind a peer's link reads form 2: its member's value says so, and its frames
+    /// come from that process. One that was restarted as an older version has another number.
+    pub(super) fn reads_new(&self, peer: usize) -> bool {
+        peer == self.settings.me
+            || self.follow.forms.get(peer).is_some_and(|(boot, form)| {
+                *form >= FORM && self.clocks.get(peer).is_some_and(|(b, _)| b == boot)
+            })
+    }
+
+    /// Tells the owners of prerequisites how urgent the jobs are that wait for them: the whole list, so
+    /// that a lost message heals. Called once in a digest period.
+    pub(super) fn say_needs(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        for p in self.membership.members.clone() {
+            if !self.reads_new(p) {
+                self.follow.sent.remove(&p);
+                continue;
+            }
+            let list = self.owner.urges(p, &self.membership);
+            let said = !list.is_empty();
+            if !said && !self.follow.sent.contains(&p) {
+                continue;
+            }
+            if said {
+                self.follow.sent.insert(p);
+            } else {
+                self.follow.sent.remove(&p);
+            }
+            if p == self.settings.me {
+                self.owner.urged_by(p, list);
+            } else {
+                out.push(Effect::Send(p, self.envelope(now, p, Message::Needed(list))));
+            }
+        }
+    }
+
+    /// Watches for the ends of jobs that others wait for, and reads those that no watch tells of.
+    pub(super) fn follow_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now < self.follow.retry || now < self.store_pause {
+            return;
+        }
+        match self.follow.watch {
+            Watch::Off if self.owner.watches() && self.requests.take(now, 1.0, 0.1) => {
+                self.follow.watch = Watch::Asking;
+                self.ask_store(Purpose::Revision, StoreRequest::Revision, out);
+            }
+            Watch::At(after, false) => {
+                if !self.owner.watches() {
+                    self.follow.watch = Watch::Off;
+                } else if self.requests.take(now, 1.0, 0.1) {
+                    self.follow.watch = Watch::At(after, true);
+                    let r = StoreRequest::Watch("done/".into(), after, WATCH);
+                    self.ask_store(Purpose::Watch, r, out);
+                }
+            }
+            _ => {}
+        }
+        if !matches!(self.follow.watch, Watch::At(..)) {
+            return;
+        }
+        while self.in_flight.len() < IN_FLIGHT && self.requests.level(now) >= 0.2 {
+            let Some(p) = self.owner.next_unread() else { break };
+            self.requests.take(now, 1.0, 0.0);
+            self.ask_store(Purpose::ReadEnd(p.clone()), StoreRequest::Get(format!("done/{p}")), out);
+        }
+    }
+
+    /// The watch, or the question that it begins with, is answered.
+    pub(super) fn watched(&mut self, now: Micros, a: StoreAnswer) {
+        match (self.follow.watch, a) {
+            (Watch::Asking, StoreAnswer::At(revision)) => {
+                // Whatever ended before this must be read; whatever ends later will be told.
+                self.owner.unwatched();
+                self.follow.watch = Watch::At(revision, false);
+            }
+            (Watch::At(after, _), StoreAnswer::Changes(revision, written)) => {
+                self.follow.watch = Watch::At(after.max(revision), false);
+                for (key, value) in written {
+                    let Some(id) = key.strip_prefix("done/") else { continue };
+                    if self.owner.is_awaited(id) {
+                        self.end_read(now, id, &value);
+                    }
+                }
+            }
+            (Watch::At(after, _), a) if a != StoreAnswer::TooOld => {
+                self.follow.retry = now + Micros::from_millis(300);
+                self.follow.watch = Watch::At(after, false);
+            }
+            _ => {
+                self.follow.retry = now + Micros::from_millis(300);
+                self.follow.watch = Watch::Off;
+            }
+        }
+    }
+
+    fn end_read(&mut self, now: Micros, id: &str, value: &Value) {
+        match read_end(value) {
+            Some((f, _)) => {
+                self.owner.note_time(self.wall);
+                self.owner.prerequisite_ended(id, f);
+            }
+            None => {
+                tracing::error!(job = %id, "unreadable final record");
+                self.owner.read_again(id);
+                self.follow.retry = now + Micros::from_millis(5000);
+            }
+        }
+    }
+
+    /// The end of a prerequisite was read, or it has none yet.
+    pub(super) fn prerequisite_read(&mut self, now: Micros, id: &str, a: StoreAnswer) {
+        match a {
+            StoreAnswer::Got(Some(row)) => self.end_read(now, id, &row.value),
+            StoreAnswer::Got(None) => {}
+            _ => {
+                self.owner.read_again(id);
+                self.follow.retry = now + Micros::from_millis(300);
+            }
+        }
+    }
+
+    // ---- Checking a submission ----
+
+    fn is_known(&self, id: &str) -> bool {
+        let live = |j: &crate::jobs::Job| j.spec.kind != Kind::Service;
+        self.owner.jobs.get(id).is_some_and(live)
+            || self.owner.final_of(id).is_some()
+            || self.follow.known.contains(id)
+    }
+
+    fn note_known(&mut self, id: &str) {
+        if self.follow.known.len() >= KNOWN {
+            self.follow.known.clear();
+        }
+        self.follow.known.insert(id.to_owned());
+    }
+
+    /// Begins to look up the jobs that a submission names. Says why it can't be taken, if so.
+    pub(super) fn begin_check(
+        &mut self,
+        now: Micros,
+        id: &str,
+        spec: &Spec,
+        out: &mut Vec<Effect>,
+    ) -> Result<BTreeSet<String>, Reply> {
+        if !self.takes_follows() {
+            return Err(Reply::later("not every controller can run jobs that follow others yet"));
+        }
+        let unknown: BTreeSet<String> = spec.follows.iter().filter(|p| !self.is_known(p)).cloned().collect();
+        if unknown.is_empty() {
+            return Ok(unknown);
+        }
+        if !self.requests.take(now, unknown.len() as f64, 0.1) {
+            return Err(Reply::later("overloaded"));
+        }
+        for p in &unknown {
+            let purpose = Purpose::Check(id.to_owned(), p.clone());
+            self.ask_store(purpose, StoreRequest::Get(format!("job/{p}")), out);
+        }
+        Ok(unknown)
+    }
+
+    /// The store was asked for a job that a submission names: for its live record first, then for its
+    /// end. In this order, since a job may end between the two.
+    pub(super) fn checked(
+        &mut self,
+        now: Micros,
+        id: String,
+        p: String,
+        a: StoreAnswer,
+        end: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let found = match a {
+            StoreAnswer::Got(found) => found,
+            _ => return self.give_up(now, &id, Reply::later("a job that it follows could not be read"), out),
+        };
+        match found {
+            Some(row) => {
+                let gait = row.value.get("spec").and_then(|s| s.get("gait"));
+                if !end && gait.is_some_and(|g| g == "service") {
+                    let why = format!("follows: {p} is a service, which is never done");
+                    return self.refuse(id, why, out);
+                }
+                self.note_known(&p);
+                let Some(a) = self.accepting.get_mut(&id) else { return };
+                if a.unknown.remove(&p) && a.unknown.is_empty() {
+                    self.put_on_record(now, id, out);
+                }
+            }
+            None if !end => {
+                let get = StoreRequest::Get(format!("done/{p}"));
+                self.requests.take(now, 1.0, 0.0);
+                self.ask_store(Purpose::CheckEnd(id, p), get, out);
+            }
+            None => self.refuse(id, format!("follows: {p} was never accepted"), out),
+        }
+    }
+
+    /// A submission can never be taken, unless it was taken before: only the store can tell.
+    fn refuse(&mut self, id: String, why: String, out: &mut Vec<Effect>) {
+        if !self.accepting.contains_key(&id) {
+            return;
+        }
+        let c = Commit {
+            conditions: vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)],
+            ..Commit::default()
+        };
+        self.ask_store(Purpose::Refuse(id, why), StoreRequest::Commit(c), out);
+    }
+
+    /// The store has compared: if nothing of the job is on record it is refused for good.
+    pub(super) fn refused(
+        &mut self,
+        now: Micros,
+        id: String,
+        why: String,
+        a: StoreAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        match a {
+            StoreAnswer::Committed(_) => self.give_up(now, &id, Reply::error(422, &why), out),
+            a => {
+                let epoch = self.membership.epoch;
+                self.accepted(now, id, epoch, a, out);
+            }
+        }
+    }
+
+    fn give_up(&mut self, now: Micros, id: &str, reply: Reply, out: &mut Vec<Effect>) {
+        for o in self.accepting.remove(id).map(|a| a.origins).unwrap_or_default() {
+            self.reply(now, o, reply.clone(), out);
+        }
+    }
+
+    /// Puts a checked submission on record.
+    pub(super) fn put_on_record(&mut self, now: Micros, id: String, out: &mut Vec<Effect>) {
+        let Some(a) = self.accepting.get(&id) else { return };
+        if !self.membership.may_act(now) || !self.writes.take(now, 1.0, 0.0) {
+            return self.give_up(now, &id, Reply::later("overloaded"), out);
+        }
+        let value = Owner::waiting_record(&a.raw, a.wall);
+        let c = Commit {
+            conditions: vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)],
+            puts: vec![(format!("job/{id}"), value, None)],
+            drops: Vec::new(),
+        };
+        self.ask_store(Purpose::Accept(id, self.membership.epoch), StoreRequest::Commit(c), out);
+    }
+}
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -78,6 +78,7 @@
                     list.into_iter().filter(|n| m.home(n) == Some(m.me) && home.is_gone(n) == Some(false));
                 self.aside.stray(now, ours);
             }
+            Message::Needed(list) if same => self.owner.urged_by(from, list),
             Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
             Message::Answer { id, reply } => {
                 if let Some(a) = self.asked.remove(&id) {
@@ -140,6 +141,7 @@
         }
         if now.since(self.sent_demands) >= period {
             self.sent_demands = now;
+            self.say_needs(now, out);
             for p in 0..n {
                 let list = self.strays[p].report();
                 if !list.is_empty() {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -48,7 +48,9 @@
         }
         for row in rows {
             match part {
-                Load::Jobs => self.take_job_row(row),
+                Load::Jobs => {
+                    self.take_job_row(row);
+                }
                 Load::Machines => {
                     let Some(list) = roll::read(&row.value) else {
                         tracing::error!(key = %row.key, "unreadable page of machines");
@@ -91,16 +93,21 @@
         }
     }
 
-    pub(super) fn take_job_row(&mut self, row: Row) {
-        let Some(id) = row.key.strip_prefix("job/") else { return };
+    /// Takes a job's record; false if it can't be read, in which case nothing may be said of the job.
+    pub(super) fn take_job_row(&mut self, row: Row) -> bool {
+        let Some(id) = row.key.strip_prefix("job/") else { return false };
         if self.membership.job_owner(id) != Some(self.settings.me) {
-            return;
+            return true;
         }
         match Owner::read_record(&row.value) {
             Some((raw, spec, accepted, done)) if spec.id == id => {
                 self.owner.insert(raw, spec, accepted, done, row.mark, false);
+                true
+            }
+            _ => {
+                tracing::error!(job = id, "unreadable job record");
+                false
             }
-            _ => tracing::error!(job = id, "unreadable job record"),
         }
     }
 
@@ -138,6 +145,12 @@
                     _ => self.load_retry = now + Micros::from_millis(300),
                 }
             }
+            Purpose::NoteForms => self.forms_noted(matches!(a, StoreAnswer::Committed(_))),
+            Purpose::Revision | Purpose::Watch => self.watched(now, a),
+            Purpose::ReadEnd(id) => self.prerequisite_read(now, &id, a),
+            Purpose::Check(id, p) => self.checked(now, id, p, a, false, out),
+            Purpose::CheckEnd(id, p) => self.checked(now, id, p, a, true, out),
+            Purpose::Refuse(id, why) => self.refused(now, id, why, a, out),
             Purpose::Accept(id, epoch) => self.accepted(now, id, epoch, a, out),
             Purpose::Record(id, w) => self.recorded(now, &id, w, a, out),
             Purpose::Verify(id) => match a {
@@ -165,8 +178,8 @@
             },
             Purpose::Lookup(id) => match a {
                 StoreAnswer::Got(Some(row)) => {
-                    self.take_job_row(row);
-                    self.looked_up(now, &id, true, out);
+                    let read = self.take_job_row(row);
+                    self.looked_up(now, &id, read, out);
                 }
                 StoreAnswer::Got(None) => {
                     self.ask_store(
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -16,6 +16,10 @@
         let reply = match self.membership.pass_job_to(r.job()) {
             None => Reply::later("no ring yet"),
             Some(o) if o != self.settings.me => match from {
+                // It would take the job without the jobs that it follows.
+                _ if !self.reads_new(o) && follows(&r) => {
+                    Reply::later("not every controller can run jobs that follow others yet")
+                }
                 Origin::Ticket(t) if self.asked.len() < WAITING_LIMIT => {
                     return self.pass_on(now, o, Some(t), r, out);
                 }
@@ -142,7 +146,8 @@
             if self.fleet.types.is_empty() {
                 return Some(Reply::later("machine types are not known yet"));
             }
-            if spec.check(&self.fleet.types, &self.settings.teams).is_ok() {
+            let open = spec.follows.is_empty() || self.takes_follows();
+            if open && spec.check(&self.fleet.types, &self.settings.teams).is_ok() {
                 return self.accept(now, from, id, spec, raw, out);
             }
         } else if self.accepting.contains_key(&id) {
@@ -170,22 +175,42 @@
         raw: Value,
         out: &mut Vec<Effect>,
     ) -> Option<Reply> {
-        if self.accepting.len() >= WAITING_LIMIT || !self.writes.take(now, 1.0, 0.0) {
-            return Some(Reply::later("overloaded"));
-        }
         let wall = self.wall;
         // A body with superfluous fields must not make a record that the store won't take.
-        let raw = trimmed(&raw);
-        let value = Owner::record(&raw, wall, "");
-        if value.to_string().len() > self.settings.value_bytes {
-            return Some(Reply::error(422, "the description is too long to be kept"));
+        let raw = trimmed(&raw, &spec);
+        let waits = !spec.follows.is_empty();
+        let value = if waits { Owner::waiting_record(&raw, wall) } else { Owner::record(&raw, wall, "") };
+        let limit = self.settings.value_bytes;
+        if value.to_string().len() > limit {
+            let why = format!("the description is too long to be kept: its record may have {limit} bytes");
+            return Some(Reply::error(422, &why));
+        }
+        if spec.follows.len() > follow::MOST {
+            let why = format!("follows: a job may name {} others at most", follow::MOST);
+            return Some(Reply::error(422, &why));
+        }
+        if self.accepting.len() >= WAITING_LIMIT || (!waits && !self.writes.take(now, 1.0, 0.0)) {
+            return Some(Reply::later("overloaded"));
+        }
+        if waits {
+            let unknown = match self.begin_check(now, &id, &spec, out) {
+                Ok(unknown) => unknown,
+                Err(reply) => return Some(reply),
+            };
+            let ready = unknown.is_empty();
+            self.accepting.insert(id.clone(), Accepting { origins: vec![from], spec, raw, wall, unknown });
+            if ready {
+                self.put_on_record(now, id, out);
+            }
+            return None;
         }
         let c = Commit {
             conditions: vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)],
             puts: vec![(format!("job/{id}"), value, None)],
             drops: Vec::new(),
         };
-        self.accepting.insert(id.clone(), Accepting { origins: vec![from], spec, raw, wall });
+        self.accepting
+            .insert(id.clone(), Accepting { origins: vec![from], spec, raw, wall, unknown: BTreeSet::new() });
         self.ask_store(Purpose::Accept(id, self.membership.epoch), StoreRequest::Commit(c), out);
         None
     }
@@ -255,6 +280,9 @@
                             Spec::parse(&body).and_then(|s| s.check(&self.fleet.types, &self.settings.teams));
                         match check {
                             Err(e) => Reply::error(422, &e.to_string()),
+                            Ok(()) if !self.takes_follows() => {
+                                Reply::later("not every controller can run jobs that follow others yet")
+                            }
                             Ok(()) => Reply::later("machine types have changed"),
                         }
                     }
@@ -311,3 +339,11 @@
         }
     }
 }
+
+/// Whether a request submits a job that follows others.
+fn follows(r: &UserRequest) -> bool {
+    match r {
+        UserRequest::Submit(_, body) => Spec::parse(body).is_ok_and(|s| !s.follows.is_empty()),
+        _ => false,
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -221,7 +221,9 @@
     pub machines: Vec<MachineDigest>,
 }
 
-/// The body of a frame.
+/// The body of a frame. What the first version reads, up to `Beat`, must keep its layout: it runs beside
+/// this one during an upgrade. New kinds come behind, none larger than the largest of the first form, or all
+/// would change. `tests/compat.rs` compares with what the first version wrote.
 #[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub enum Message {
     /// Between owners and homes, in both directions.
@@ -259,6 +261,9 @@
     Strays(Vec<String>),
     /// Only what every frame says: epoch and clocks.
     Beat,
+    /// From form 2 on: to the owner of jobs that the sender's waiting jobs need, how urgent those are.
+    /// Sent only to processes that read form 2: the others would drop the link.
+    Needed(Vec<(String, u8)>),
 }
 
 /// A user's request.
--- a/src/roll.rs
+++ b/src/roll.rs
@@ -116,7 +116,11 @@
 
     /// Puts a machine on the roll.
     pub fn add(&mut self, name: &str, r: &MachineRecord) {
-        if let Some(p) = self.at.get(name).and_then(|n| self.pages.get_mut(n)) {
+        // A page from before the limits fell stays as it is until enough of its names are gone: it can't be
+        // written, and what it names is on record. A name of it that must be written goes on another as well.
+        let limit = self.limit;
+        let page = self.at.get(name).and_then(|n| self.pages.get_mut(n));
+        if let Some(p) = page.filter(|p| p.bytes <= limit) {
             // Its caller doesn't know that it is on record, so it is written again.
             p.dirty = true;
             return;
@@ -129,23 +133,29 @@
 
     /// Takes names off that are certainly gone. Their pages are written with the next change.
     pub fn prune(&mut self, gone: impl Fn(&str) -> bool) {
-        let names: Vec<String> = self.at.keys().filter(|n| gone(n)).cloned().collect();
-        for name in names {
-            if let Some(n) = self.at.remove(&name)
-                && let Some(p) = self.pages.get_mut(&n)
-                && let Some(r) = p.names.remove(&name)
-            {
-                p.bytes -= size(&name, &r);
-                // An empty page goes at once.
-                p.dirty |= p.names.is_empty();
-            }
+        let limit = self.limit;
+        for p in self.pages.values_mut() {
+            let (before, bytes) = (p.names.len(), &mut p.bytes);
+            let too_long = *bytes > limit;
+            p.names.retain(|name, r| {
+                let stays = !gone(name);
+                if !stays {
+                    *bytes -= size(name, r);
+                }
+                stays
+            });
+            // An empty page goes at once, and one that fits again is written while it does.
+            p.dirty |= p.names.len() < before && (p.names.is_empty() || (too_long && p.bytes <= limit));
         }
+        self.at.retain(|name, _| !gone(name));
     }
 
     /// The next page to write.
     pub fn next_write(&mut self) -> Option<PageWrite> {
         let member = &self.member;
-        let (&n, p) = self.pages.iter_mut().find(|(_, p)| p.dirty && p.state == State::Idle)?;
+        let limit = self.limit;
+        let fits = |p: &Page| p.dirty && p.state == State::Idle && p.bytes <= limit;
+        let (&n, p) = self.pages.iter_mut().find(|(_, p)| fits(p))?;
         p.state = State::Writing;
         p.dirty = false;
         let map: Map<String, Value> = p.names.iter().map(|(n, r)| (n.clone(), entry(r))).collect();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -123,6 +123,33 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    #[serde(default)]
+    next: NextState,
+}
+
+/// The limits that the state service will have from some moment on, without notice.
+#[derive(Deserialize, Clone, Debug, Default)]
+struct NextState {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
+}
+
+impl State {
+    /// The lesser of each limit, now and later. A write must not depend on a limit that may have
+    /// gone: nobody says when, and a refused value looks like a malformed one. Staying within both
+    /// from the start needs no guess, and a restarted controller nothing to remember.
+    fn lesser(&self) -> State {
+        let n = &self.next;
+        State {
+            rps: n.rps.map_or(self.rps, |x| x.min(self.rps)),
+            write_rps: n.write_rps.map_or(self.write_rps, |x| x.min(self.write_rps)),
+            value_kb: n.value_kb.map_or(self.value_kb, |x| x.min(self.value_kb)),
+            txn_ops: n.txn_ops.map_or(self.txn_ops, |x| x.min(self.txn_ops)),
+            next: NextState::default(),
+        }
+    }
 }
 
 #[derive(Deserialize, Clone, Debug)]
@@ -166,7 +193,8 @@
     pub gang_peer: Micros,
     /// How soon a cancelled job's tasks must be gone.
     pub cancel: Micros,
-    /// This controller's share of the state service's requests per second.
+    /// This controller's share of the state service's requests per second; like the limits that follow, the
+    /// lesser of what holds now and what will hold later.
     pub store_rps: f64,
     /// This controller's share of changes per second.
     pub store_write_rps: f64,
@@ -203,7 +231,11 @@
         })?;
         let bad = |key: &str, reason: &str| SettingsError::Value { key: key.into(), reason: reason.into() };
         let i = &f.settings;
+        let next = &i.state.next;
         for (key, v) in [
+            ("settings.state.next.rps", next.rps.unwrap_or(1.0)),
+            ("settings.state.next.write_rps", next.write_rps.unwrap_or(1.0)),
+            ("settings.state.next.value_kb", next.value_kb.unwrap_or(1.0)),
             ("settings.workers.report_s", i.workers.report_s),
             ("settings.workers.lease_s", i.workers.lease_s),
             ("settings.workers.gang_wait_s", i.workers.gang_wait_s),
@@ -221,9 +253,15 @@
         if !(0.0..=1e6).contains(&i.cloud.list_lag_s) {
             return Err(bad("settings.cloud.list_lag_s", "must be a number from 0 to 1000000"));
         }
-        if i.state.txn_ops < 4 {
-            return Err(bad("settings.state.txn_ops", "must be at least 4"));
+        for (key, n) in [
+            ("settings.state.txn_ops", i.state.txn_ops),
+            ("settings.state.next.txn_ops", next.txn_ops.unwrap_or(4)),
+        ] {
+            if n < 4 {
+                return Err(bad(key, "must be at least 4"));
+            }
         }
+        let state = i.state.lesser();
         let mut seen = std::collections::BTreeSet::new();
         for (n, t) in i.teams.iter().enumerate() {
             if !seen.insert(t.name.clone()) || t.name.is_empty() {
@@ -273,10 +311,10 @@
             gang_peer: Micros::from_secs(i.workers.gang_peer_s),
             cancel: Micros::from_secs(i.workers.cancel_s),
             // A tenth is left unspent: the service counts in its own seconds.
-            store_rps: i.state.rps * 0.9 / share,
-            store_write_rps: i.state.write_rps * 0.9 / share,
-            value_bytes: (i.state.value_kb * 1024.0) as usize,
-            txn_ops: i.state.txn_ops,
+            store_rps: state.rps * 0.9 / share,
+            store_write_rps: state.write_rps * 0.9 / share,
+            value_bytes: (state.value_kb * 1024.0) as usize,
+            txn_ops: state.txn_ops,
             cloud_rps: i.cloud.rps,
             list_lag: Micros::from_secs(i.cloud.list_lag_s),
             member_lease,
@@ -285,3 +323,46 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(next: &str) -> Result<Settings, String> {
+        let text = format!(
+            "member = \"c0\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\n\
+            state = \"10.0.0.9:2\"\n[settings.workers]\nreport_s = 3.0\nlease_s = 18.0\ngang_wait_s = 30.0\n\
+            gang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\nwrite_rps = 20.0\nvalue_kb = 4.0\n\
+            txn_ops = 8\n{next}\n[settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n"
+        );
+        Settings::parse("test", &text).map_err(|e| e.to_string())
+    }
+
+    #[test]
+    fn of_each_limit_now_and_later_the_lesser_holds() {
+        let limits = |next: &str| {
+            let s = parse(next).expect("valid");
+            (s.store_rps.round(), s.store_write_rps.round(), s.value_bytes, s.txn_ops)
+        };
+        assert_eq!(limits(""), (90.0, 18.0, 4096, 8));
+        assert_eq!(
+            limits("[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 10"),
+            (90.0, 9.0, 2048, 4)
+        );
+        assert_eq!(limits("[settings.state.next]\nvalue_kb = 2"), (90.0, 18.0, 2048, 8));
+        assert_eq!(
+            limits("[settings.state.next]\nvalue_kb = 9.0\nrps = 50.0\nother = 1"),
+            (45.0, 18.0, 4096, 8)
+        );
+    }
+
+    #[test]
+    fn limits_that_make_no_sense_are_refused_by_name() {
+        for key in ["rps", "write_rps", "value_kb", "txn_ops"] {
+            for value in ["0", "-1", "\"x\"", "nan"] {
+                let e = parse(&format!("[settings.state.next]\n{key} = {value}")).expect_err("refused");
+                assert!(e.contains(key) && !e.contains('\n'), "{e}");
+            }
+        }
+    }
+}
--- a/src/spec.rs
+++ b/src/spec.rs
@@ -61,6 +61,8 @@
     pub save: Micros,
     /// When it should be complete, from its submission.
     pub deadline: Option<Micros>,
+    /// Jobs that must be done before any of its tasks starts: in order, each once.
+    pub follows: Vec<String>,
 }
 
 /// A machine type, as the cloud lists it.
@@ -199,7 +201,18 @@
         let zone = if f.get("paddock").is_some() { Some(f.text("paddock")?) } else { None };
         let deadline =
             if f.get("dueS").is_some() { Some(Micros::from_secs(f.amount("dueS")?)) } else { None };
+        let wrong = SpecError::Field("follows", "must be a list of job ids");
+        let mut follows = match f.get("follows") {
+            None => Vec::new(),
+            Some(v) => {
+                let list = v.as_array().ok_or(wrong.clone())?.iter().map(|x| x.as_str().map(str::to_owned));
+                list.collect::<Option<Vec<_>>>().filter(|l| l.iter().all(|x| is_job_id(x))).ok_or(wrong)?
+            }
+        };
+        follows.sort_unstable();
+        follows.dedup();
         Ok(Spec {
+            follows,
             id,
             class: f.text("breed")?,
             team: f.text("herd")?,
@@ -224,6 +237,9 @@
     /// Whether the job can ever run here.
     pub fn check(&self, types: &Types, teams: &[TeamSettings]) -> Result<(), SpecError> {
         let never = |why: String| Err(SpecError::Impossible(why));
+        if self.follows.contains(&self.id) {
+            return never(format!("follows: {} can't wait for itself", self.id));
+        }
         let Some(team) = teams.iter().find(|t| t.name == self.team) else {
             return never(format!("unknown team {}", self.team));
         };
--- a/src/store.rs
+++ b/src/store.rs
@@ -18,6 +18,10 @@
     Grant(u64),
     /// Renew a lease.
     Renew(u64),
+    /// The store's present revision.
+    Revision,
+    /// Wait until a key with a prefix has changed after a revision, for that long at most.
+    Watch(String, u64, Micros),
 }
 
 /// An atomic change: all conditions must hold.
@@ -69,6 +73,12 @@
     Granted(u64),
     /// The lease was renewed.
     Renewed,
+    /// The store's present revision.
+    At(u64),
+    /// The revision up to which the store has looked, and the keys that were written, with values.
+    Changes(u64, Vec<(String, Value)>),
+    /// The changes asked for are no longer kept.
+    TooOld,
     /// Certainly not carried out (429, 503, or the connection was refused).
     Refused,
     /// No usable answer: it may have been carried out, or may yet be.
@@ -126,6 +136,18 @@
     ledger: u64,
 }
 #[derive(Deserialize)]
+struct Changes {
+    ledger: u64,
+    #[serde(default)]
+    events: Vec<Change>,
+}
+#[derive(Deserialize)]
+struct Change {
+    write: Option<String>,
+    #[serde(default)]
+    v: Value,
+}
+#[derive(Deserialize)]
 struct Lease {
     tether: u64,
 }
@@ -134,6 +156,7 @@
 pub struct StoreClient {
     agent: ureq::Agent,
     base: String,
+    timeout: Duration,
 }
 
 impl StoreClient {
@@ -145,7 +168,7 @@
             .redirects(0)
             .max_idle_connections_per_host(1)
             .build();
-        StoreClient { agent, base: format!("http://{addr}") }
+        StoreClient { agent, base: format!("http://{addr}"), timeout }
     }
 
     /// Carries out a request.
@@ -187,6 +210,25 @@
                     other => failure(other),
                 }
             }
+            StoreRequest::Revision => {
+                match self.send("GET", &format!("{base}/store?prefix=ring/epoch&limit=1"), None) {
+                    Some((200, text)) => parse(&text, |r: Revision| StoreAnswer::At(r.ledger)),
+                    other => failure(other),
+                }
+            }
+            StoreRequest::Watch(prefix, after, wait) => {
+                let ms = wait.0 / 1000;
+                let url = format!("{base}/changes?prefix={prefix}&after={after}&waitMs={ms}");
+                let request = self.agent.get(&url).timeout(self.timeout + Duration::from_micros(wait.0));
+                match answer(request.call()) {
+                    Some((200, text)) => parse(&text, |c: Changes| {
+                        let written = c.events.into_iter().filter_map(|e| Some((e.write?, e.v)));
+                        StoreAnswer::Changes(c.ledger, written.collect())
+                    }),
+                    Some((410, _)) => StoreAnswer::TooOld,
+                    other => failure(other),
+                }
+            }
             StoreRequest::Grant(ms) => {
                 let body = json!({"lifeMs": ms}).to_string();
                 match self.send("POST", &format!("{base}/grants"), Some(body)) {
@@ -216,6 +258,10 @@
         Some(b) => request.set("Content-Type", "application/json").send_string(&b),
         None => request.call(),
     };
+    answer(result)
+}
+
+fn answer(result: Result<ureq::Response, ureq::Error>) -> Option<(u16, String)> {
     match result {
         Ok(r) | Err(ureq::Error::Status(_, r)) => {
             let status = r.status();
--- a/src/teams.rs
+++ b/src/teams.rs
@@ -59,6 +59,16 @@
     teams: BTreeMap<String, Team>,
 }
 
+/// Most bytes that a claim takes in a record, beside the job's name.
+const ENTRY: usize = 48;
+/// Most bytes by which one becomes longer when it grows.
+const DIGITS: usize = 8;
+
+fn record(claims: &BTreeMap<String, Room>) -> Value {
+    let entry = |(j, c): (&String, &Room)| (j.clone(), json!([c.cpus, c.gpus]));
+    Value::Object(claims.iter().map(entry).collect())
+}
+
 fn team_room(cpus: f64, gpus: f64) -> Room {
     let part = |x: f64| if x > 0.0 { (x * 1000.0 + 1e-6) as i64 } else { i64::MAX / 4 };
     Room { cpus: part(cpus), gpus: part(gpus), memory: i64::MAX / 4 }
@@ -247,7 +257,14 @@
         let used = claims.values().fold(Room::default(), |a, &b| a + b);
         let mut free = Room { memory: i64::MAX / 4, ..t.limit - used };
         let mut grown = false;
+        // A record must fit into a value. Jobs beyond that wait until others are done; without a count
+        // of the bytes they would keep even what shrinks from being written.
+        let mut bytes = record(&claims).to_string().len();
         for n in needs {
+            let more = if claims.contains_key(&n.job) { DIGITS } else { n.job.len() + ENTRY };
+            if bytes + more > value_bytes {
+                continue;
+            }
             let have = claims.get(&n.job).copied().unwrap_or_default();
             let target = n.in_use + n.one.times(n.more);
             let lacking = Room { cpus: target.cpus - have.cpus, gpus: target.gpus - have.gpus, memory: 0 };
@@ -266,6 +283,7 @@
                 continue;
             }
             free = free - add;
+            bytes += more;
             claims.insert(n.job.clone(), have + add);
             grown = true;
         }
@@ -279,11 +297,9 @@
         if !unsettled && (claims == t.claims || slight) {
             return None;
         }
-        let map: Map<String, Value> =
-            claims.iter().map(|(j, c)| (j.clone(), json!([c.cpus, c.gpus]))).collect();
-        let value = Value::Object(map);
-        // A record must fit into a value; jobs beyond that wait until others are done.
-        if grown && value.to_string().len() > value_bytes {
+        let value = record(&claims);
+        // One from before the limits fell may be too long still: it waits until more jobs have ended.
+        if value.to_string().len() > value_bytes {
             return None;
         }
         Some(ClaimWrite { team: team.into(), mark: t.mark, value, claims })
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -415,6 +415,9 @@
                 }
                 StoreAnswer::Committed(self.revision)
             }
+            StoreRequest::Revision => StoreAnswer::At(self.revision),
+            // Answered by `watch`, which waits.
+            StoreRequest::Watch(..) => StoreAnswer::Refused,
             StoreRequest::Grant(ms) => {
                 self.serial += 1;
                 self.leases.insert(self.serial, (ms * 1000, self.now + ms * 1000));
