--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -146,9 +146,10 @@
                 job: id,
             });
         }
-        // Jobs that are to end get no more, but keep what they use. Those that wait for others use
-        // nothing, except after a takeover that has yet to see what an earlier owner saw.
-        for (id, j) in self.jobs.iter().filter(|(_, j)| j.ending.is_some() || j.waits()) {
+        // Jobs that are to end get no more, but keep what they use. What that is must be known first: a
+        // claim that shrinks while a machine is unheard would make room for others too soon. Those that wait
+        // for others are left out, so they get no claim and keep one that an earlier owner made.
+        for (id, j) in self.jobs.iter().filter(|(_, j)| j.ending.is_some() && j.settled) {
             if teams.limited(&j.spec.team) {
                 out.entry(j.spec.team.clone()).or_default().push(Need {
                     job: id.clone(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -433,7 +433,8 @@
     }
 }
 
-fn read_end(v: &Value) -> Option<(Final, u32)> {
+/// Reads the record of a job's end.
+pub fn read_end(v: &Value) -> Option<(Final, u32)> {
     let f = match v.get("end")?.as_str()? {
         "done" => Final::Done,
         "cancelled" => Final::Cancelled,
--- /dev/null
+++ b/tests/compat.rs
@@ -0,0 +1,272 @@
+//! This version beside the one in production: frames and stored values that its build wrote
+//! (`fixtures/README.md`) are read, and what is written for it is what it would have written. A change of
+//! layout fails here.
+
+use hazelsaddle::jobs::{Final, Owner, RecordWrite};
+use hazelsaddle::machines::MachineRecord;
+use hazelsaddle::peer::*;
+use hazelsaddle::ring::EpochRecord;
+use hazelsaddle::roll::{self, Roll};
+use hazelsaddle::settings::Settings;
+use hazelsaddle::spec::Spec;
+use hazelsaddle::teams::{Need, Teams};
+use hazelsaddle::units::{Micros, Ranges, Room};
+use serde_json::{Map, Value, json};
+
+fn fixtures() -> Value {
+    serde_json::from_str(include_str!("fixtures/first-form.json")).expect("the fixtures are JSON")
+}
+
+fn settings(value_kb: f64) -> Settings {
+    let text = format!(
+        "member = \"c0\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\n\
+        state = \"10.0.0.9:2\"\n[settings]\n[[settings.teams]]\nname = \"t\"\ncpus_max = 4000.0\n[settings.workers]\n\
+        report_s = 3.0\nlease_s = 18.0\ngang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\n\
+        rps = 100.0\nwrite_rps = 15.0\nvalue_kb = 4.0\ntxn_ops = 8\n[settings.state.next]\nvalue_kb = {value_kb:.1}\n\
+        [settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n"
+    );
+    Settings::parse("test", &text).expect("valid")
+}
+
+fn body() -> Value {
+    json!({"uid":"wk-000412","breed":"train","herd":"vision","gait":"group","rank":"high","strides":16,
+        "vcpus":8.0,"cards":1.0,"ramGb":64.0,"tack":"img-07","imageGb":6.2,"breedsOfStall":["g8"],
+        "paddock":null,"together":true,"scatter":false,"borrowed":true,"rideS":240.0,"restS":30.0,
+        "unsaddleS":4.0,"dueS":900.0})
+}
+
+fn room(n: i64) -> Room {
+    Room { cpus: 1000 * n, gpus: n, memory: 2500 * n }
+}
+
+fn frame(body: Message) -> Frame {
+    Frame {
+        from: 1,
+        epoch: 7,
+        members: vec![0, 1, 2],
+        clock: Micros(5_000_001),
+        boot: 11,
+        echo: Micros(4_000_002),
+        echo_boot: 12,
+        digest_seen: (7 << 32) + 3,
+        body,
+    }
+}
+
+/// The values that the fixtures were made of.
+fn frames() -> Vec<(&'static str, Frame)> {
+    let key = |index| TaskKey { job: "wk-000412".into(), index, attempt: (7 << 24) + 2 };
+    let want = |i, want| Wanted {
+        key: key(i),
+        machine: "i-000231".into(),
+        room: room(2),
+        want,
+        priority: 12,
+        image: 99,
+    };
+    let wishes = Wishes {
+        rev: (7 << 32) + 4,
+        since: (7 << 32) + 1,
+        list: vec![
+            want(0, Want::Hold),
+            want(1, Want::Run),
+            want(2, Want::Keep),
+            want(3, Want::Stop(Micros(4_000_000))),
+            want(4, Want::Forget),
+        ],
+        dropped: vec![("i-000007".into(), key(5))],
+    };
+    let phases = [
+        Phase::Held,
+        Phase::Queued,
+        Phase::InDoubt,
+        Phase::Fetching,
+        Phase::Waiting,
+        Phase::Running,
+        Phase::Saving,
+        Phase::Exited(Exit::Done),
+        Phase::Exited(Exit::Stopped(true)),
+        Phase::Exited(Exit::Peers),
+        Phase::Exited(Exit::Alone),
+        Phase::Exited(Exit::Error),
+        Phase::Exited(Exit::NoRoom),
+        Phase::Exited(Exit::Busy),
+        Phase::Exited(Exit::Unknown),
+    ];
+    let machine = |name: &str, standing| MachineDigest {
+        name: name.into(),
+        kind: "tolgy16".into(),
+        zone: "buda-a".into(),
+        spot: false,
+        standing,
+        open: true,
+        notice: Some(Micros(9_000_000)),
+        free: room(3),
+        total: room(16),
+        by_priority: vec![(1, room(2)), (12, room(4))],
+        images: vec![7, 8],
+        busy: 15,
+        idle: None,
+        silent: Some(Micros(3_500_000)),
+        tasks: phases.iter().zip(0..).map(|(p, i)| Actual { key: key(i), phase: *p }).collect(),
+    };
+    let digest = Digest {
+        seq: (7 << 32) + 9,
+        since: 0,
+        rev_seen: (7 << 32) + 4,
+        machines: vec![
+            machine("i-000231", Standing::Known),
+            machine("i-2", Standing::Unconfirmed),
+            machine("i-000000000000003", Standing::Gone),
+        ],
+    };
+    let demand = Demand {
+        room: room(1),
+        kinds: vec!["tolgy16".into()],
+        zone: Some("pest-c".into()),
+        one_zone: true,
+        spot: true,
+        count: 40,
+        estimate: Micros(40_000_000),
+        priority: 1,
+        horizon: Micros(80_000_000),
+        together: 12,
+    };
+    let reserve = Reservation { machine: "i-000231".into(), priority: 2, need: room(15), evict: true };
+    let fleet = Message::Fleet {
+        drain: vec!["i-000009".into()],
+        gone: vec!["i-000010".into(), "i-000011".into()],
+        kept: vec![("ulken32".into(), false, 2)],
+        kept_machines: vec![("i-000231".into(), 2)],
+    };
+    let ask = |id, request| frame(Message::Ask { id, request });
+    let job = || "wk-000412".to_owned();
+    vec![
+        ("state", frame(Message::State(wishes, digest))),
+        ("demands", frame(Message::Demands(vec![demand]))),
+        ("reserve", frame(Message::Reserve(vec![reserve]))),
+        ("fleet", frame(fleet)),
+        ("submit", ask(5, UserRequest::Submit(job(), body().to_string()))),
+        ("query", ask(6, UserRequest::Query(job()))),
+        ("withdraw", ask(7, UserRequest::Withdraw(job()))),
+        ("answer", frame(Message::Answer { id: 8, reply: Reply::later("not now") })),
+        ("strays", frame(Message::Strays(vec!["i-000231".into()]))),
+        ("beat", frame(Message::Beat)),
+    ]
+}
+
+#[test]
+fn frames_are_those_of_the_version_in_production() {
+    let all = fixtures();
+    let all = all["frames"].as_object().expect("frames");
+    let frames = frames();
+    assert_eq!(all.len(), frames.len());
+    for (name, frame) in frames {
+        let hex = all[name].as_str().expect("text");
+        let byte = |i: usize| u8::from_str_radix(&hex[i..i + 2], 16).expect("hexadecimal");
+        let bytes: Vec<u8> = (0..hex.len()).step_by(2).map(byte).collect();
+        assert_eq!(Frame::decode(&bytes[4..]).as_ref(), Some(&frame), "{name} is read");
+        assert_eq!(frame.encode().as_ref(), Some(&bytes), "{name} is written to the byte");
+    }
+}
+
+#[test]
+fn the_message_of_the_second_form_survives_the_trip() {
+    let f = frame(Message::Needed(vec![("wk-000412".into(), 2), ("wk-1".into(), 1)]));
+    assert_eq!(Frame::decode(&f.encode().expect("encoded")[4..]), Some(f));
+}
+
+#[test]
+fn values_that_production_stored_are_read_and_written_alike() {
+    let all = fixtures();
+    let stored = &all["stored"];
+    let epoch: EpochRecord = serde_json::from_value(stored["ring/epoch"].clone()).expect("an epoch");
+    assert_eq!(epoch.members, [("c0".to_owned(), 11), ("c1".to_owned(), 12)]);
+    assert_eq!(serde_json::to_value(&epoch).expect("written"), stored["ring/epoch"]);
+
+    let (raw, spec, accepted, done) = Owner::read_record(&stored["job/wk-000412"]).expect("a record");
+    assert_eq!((raw.clone(), done.len(), spec.follows.len()), (body(), 7, 0));
+    assert_eq!(Owner::record(&raw, accepted, &done.encode(1000)), stored["job/wk-000412"]);
+
+    let mut owner = Owner::new(&settings(4.0));
+    owner.insert(raw, spec, accepted, Ranges::default(), 1, true);
+    owner.jobs.get_mut("wk-000412").expect("live").ending = Some(Final::Cancelled);
+    let Some((_, RecordWrite::End(_, end), _)) = owner.next_write(Micros(1), true) else { panic!("no end") };
+    assert_eq!(end, stored["done/wk-000413"]);
+    assert_eq!(hazelsaddle::node::read_end(&end), Some((Final::Cancelled, 0)));
+}
+
+/// What the first version makes of a waiting job's record: a job that no machine suits. It hands the
+/// description on as it is, so nothing that this version needs is lost when it rewrites the record.
+#[test]
+fn a_waiting_record_is_kept_and_not_started_by_the_first_version() {
+    let mut with = body();
+    with["follows"] = json!(["wk-000398", "wk-405"]);
+    for types in [json!(["g8", "g9"]), Value::Null] {
+        with["breedsOfStall"] = types.clone();
+        let record = Owner::waiting_record(&with, Micros(5));
+        // The fields that it reads, by its own checks, which know nothing of `follows`.
+        let mut plain = record["spec"].clone();
+        let map: &mut Map<String, Value> = plain.as_object_mut().expect("an object");
+        assert!(map.remove("follows").is_some());
+        let seen = Spec::from_value(&plain).expect("the first version takes it for a job");
+        assert_eq!(seen.kinds.len(), 1);
+        assert!(seen.kinds[0].contains(' '), "and no machine is of a type of this name");
+        assert_eq!((seen.id.as_str(), seen.tasks, seen.team.as_str()), ("wk-000412", 16, "vision"));
+        // It rewrites the rest, and this version has the user's words again.
+        let rewritten = json!({"spec": record["spec"], "accepted_us": record["accepted_us"], "done": "0-3"});
+        let (raw, spec, accepted, done) = Owner::read_record(&rewritten).expect("readable");
+        assert_eq!((accepted, done.len()), (Micros(5), 4));
+        assert_eq!(spec.follows, ["wk-000398", "wk-405"]);
+        assert_eq!(raw["follows"], with["follows"]);
+        assert_eq!(raw.get("breedsOfStall").cloned().unwrap_or_default(), types);
+    }
+    assert_eq!(
+        Owner::read_record(&json!({"spec": {"breedsOfStall": ["(waits for other jobs)"], "follows": 7}})),
+        None
+    );
+}
+
+/// Values from before the limits fell are longer than what may be written now.
+#[test]
+fn long_values_from_before_are_read_and_never_written_at_that_length() {
+    let all = fixtures();
+    let s = settings(2.0);
+    assert_eq!(s.value_bytes, 2048);
+    let claims = &all["stored"]["team/t"];
+    assert!(claims.to_string().len() > 2048);
+    let mut teams = Teams::new(&s.teams);
+    teams.take("t", Some((claims, 5)));
+    let held = claims.as_object().expect("claims").len();
+    assert_eq!(teams.used("t").cpus, 15_000 * held as i64, "every claim counts");
+    let one = Room { cpus: 15_000, gpus: 0, memory: 0 };
+    let need =
+        |i: usize| Need { job: format!("wk-9{i:05}"), one, in_use: Room::default(), more: 1, whole: true };
+    let needs: Vec<Need> = (0..200).map(need).collect();
+    let ended = |left: usize| move |job: &str| job[3..].parse::<usize>().expect("a number") >= left * 7;
+    let plan =
+        |left: usize| teams.plan(Micros(60_000_000), "t", &needs, |_| true, ended(left), s.value_bytes);
+    assert!(plan(held - 3).is_none(), "too long still: it waits until more jobs have ended");
+    let w = plan(10).expect("most have ended");
+    let jobs = w.claims.len();
+    assert!(w.value.to_string().len() <= 2048 && jobs > 20, "as many as a value holds: {jobs}");
+
+    let key = "mach/c0/0";
+    let rows = roll::read(&all["stored"][key]).expect("a page");
+    assert!(all["stored"][key].to_string().len() > 2048);
+    let mut roll = Roll::new("c0", s.value_bytes);
+    roll.take(key, &rows, 9);
+    assert_eq!(roll.names().len(), rows.len());
+    let new = MachineRecord { kind: "k".into(), zone: "z".into(), spot: false, addr: "10.0.0.1:1".into() };
+    roll.add("i-900000", &new);
+    // One of the long page must be written anew: it goes on another page, and stays on the long one.
+    roll.add(&rows[0].0, &rows[0].1);
+    let w = roll.next_write().expect("a page");
+    assert!(w.key != key && w.names.len() == 2 && w.mark == 0);
+    assert!(roll.next_write().is_none(), "the long page is left alone");
+    roll.written(&w, 10);
+    roll.prune(|n| rows[10..].iter().any(|(name, _)| name == n));
+    let w = roll.next_write().expect("it fits again");
+    assert_eq!((w.key.as_str(), w.mark, w.names.len()), (key, 9, 10));
+    assert!(w.value.expect("a page").to_string().len() <= 2048);
+}
