--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -13,6 +13,7 @@
     }
 
     pub(super) fn user(&mut self, now: Micros, from: Origin, r: UserRequest, out: &mut Vec<Effect>) {
+        let (what, job) = (r.kind(), r.job().to_owned());
         let reply = match self.membership.pass_job_to(r.job()) {
             None => Reply::later("no ring yet"),
             Some(o) if o != self.settings.me => match from {
@@ -39,7 +40,7 @@
             },
         };
         if reply.status >= 429 {
-            tracing::debug!(status = reply.status, reason = %reply.body, "request refused");
+            tracing::debug!(what, job, status = reply.status, reason = %reply.body, "request refused");
         }
         self.reply(now, from, reply, out);
     }
@@ -317,7 +318,8 @@
                 continue;
             }
             if late(&a) {
-                tracing::debug!(job = a.request.job(), "request refused: its owner does not answer");
+                let (what, job) = (a.request.kind(), a.request.job());
+                tracing::debug!(what, job, "request refused: its owner does not answer");
                 out.push(Effect::Reply(ticket, Reply::later("the job's owner does not answer")));
             } else {
                 self.asked.insert(id, a);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -278,6 +278,14 @@
 }
 
 impl UserRequest {
+    /// What it asks for, for logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            UserRequest::Submit(..) => "submit",
+            UserRequest::Query(_) => "query",
+            UserRequest::Withdraw(_) => "withdraw",
+        }
+    }
     /// The job it is about.
     pub fn job(&self) -> &str {
         match self {
