--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -13,7 +13,7 @@
 use crate::peer::{Demand, Phase, Reservation, Standing, TaskKey, Want};
 use crate::ring::Membership;
 use crate::settings::{Objective, Settings};
-use crate::spec::{Kind, Spec};
+use crate::spec::{GUARANTEED, Kind, Spec};
 use crate::units::{Micros, Ranges, Room};
 use crate::views::{Seen, View};
 use serde_json::{Value, json};
@@ -22,10 +22,6 @@
 /// Finals kept in memory; older ones are read from the store.
 const FINALS: usize = 2000;
 
-/// Work of teams with a guarantee stands above all other work, whatever its priority: this much is added.
-/// What other teams run may be stopped to give a team its guarantee, so it also makes room.
-pub const GUARANTEED: u8 = 10;
-
 /// How a job ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Final {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -85,7 +85,8 @@
             // machine for itself all are as good as equally full.
             let fetch = !p.machine.images.contains(&s.image_hash);
             let alone = p.machine.total.count_of(s.room) == 1;
-            ((alone && fetch, left.gpus, left.cpus, fetch, left.memory), i)
+            let risky = p.machine.spot && s.hurried();
+            ((risky, alone && fetch, left.gpus, left.cpus, fetch, left.memory), i)
         })
         .collect();
     at.sort_unstable();
@@ -161,6 +162,21 @@
         }
     }
 
+    /// Seen on sanaq-forms-next: a stage of 24 short tasks lost one with its spot machine, and the whole
+    /// pipeline was late.
+    #[test]
+    fn urgent_work_that_never_saves_goes_to_ordinary_machines_first() {
+        let machines = [machine("a".into(), "a", true, 2.0, 8.0), machine("b".into(), "a", false, 8.0, 8.0)];
+        let at = |priority: u8, checkpoint: Micros| {
+            let spec = Spec { spot: true, priority, checkpoint, ..spec("batch", 2, false, false) };
+            fill(&spec, &mut places(&machines), &mut ZoneCounts::new(), 2, |_| true)
+        };
+        assert_eq!(at(1, Micros(0)), [0, 1], "the fullest first");
+        assert_eq!(at(2, Micros(0)), [1, 1]);
+        assert_eq!(at(12, Micros(0)), [1, 1]);
+        assert_eq!(at(2, Micros(5)), [0, 1], "what saves loses little");
+    }
+
     fn fleet(rng: &mut StdRng) -> Vec<MachineDigest> {
         (0..rng.random_range(1..12))
             .map(|i| {
--- a/src/spec.rs
+++ b/src/spec.rs
@@ -6,6 +6,9 @@
 use serde_json::{Map, Value};
 use std::collections::BTreeMap;
 
+/// Work of teams with a guarantee stands above all other work, whatever its priority: this much is added.
+/// What other teams run may be stopped to give a team its guarantee, so it also makes room.
+pub const GUARANTEED: u8 = 10;
 /// Longest request body taken.
 pub const BODY_LIMIT: usize = 64 * 1024;
 /// Most tasks a job may have.
@@ -234,6 +237,12 @@
         })
     }
 
+    /// Urgent work that would lose all it did with its machine: a spot machine that is taken costs it more than
+    /// a fuller ordinary one saves.
+    pub fn hurried(&self) -> bool {
+        self.priority % GUARANTEED >= 2 && self.checkpoint == Micros(0) && self.kind != Kind::Service
+    }
+
     /// Whether the job can ever run here.
     pub fn check(&self, types: &Types, teams: &[TeamSettings]) -> Result<(), SpecError> {
         let never = |why: String| Err(SpecError::Impossible(why));
