Long lists of prerequisites are looked up within the budget of requests, over some retries; tests of bad input

A list of 250 ids was asked for at once: more than the state service answers in a second, and leases share that limit. As many as the budget allows are looked up now and remembered; the user is told to come back at once.

--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -14,7 +14,7 @@
 const WATCH: Micros = Micros::from_millis(2_000);
 /// Ids remembered as accepted, so that a retry that follows a refusal gets further than it did.
 const KNOWN: usize = 5000;
-/// Most jobs that one may name: as many as can be looked up in the time that a user waits.
+/// Most jobs that one may name: as many as can be looked up while a user goes on trying.
 pub(super) const MOST: usize = 250;
 
 /// How far the ends of jobs have been watched.
@@ -235,10 +235,12 @@
         if unknown.is_empty() {
             return Ok(unknown);
         }
-        if !self.requests.take(now, unknown.len() as f64, 0.1) {
-            return Err(Reply::later("overloaded"));
-        }
+        // A long list must not use up what leases and releases need: as many are looked up as the budget
+        // allows. They are remembered, so that each retry gets further.
         for p in &unknown {
+            if !self.requests.take(now, 1.0, 0.3) {
+                return Err(Reply::later("some of the jobs that it follows are still to be looked up"));
+            }
             let purpose = Purpose::Check(id.to_owned(), p.clone());
             self.ask_store(purpose, StoreRequest::Get(format!("job/{p}")), out);
         }
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -1,6 +1,7 @@
 //! What must not count: messages that build on something their receiver does not hold, and decisions
 //! that rest on a right which has run out.
 
+use hazelsaddle::api::{self, Parsed};
 use hazelsaddle::fleet::CloudRequest;
 use hazelsaddle::machines::{Home, Report};
 use hazelsaddle::node::{Effect, Node};
@@ -9,6 +10,7 @@
 use hazelsaddle::settings::Settings;
 use hazelsaddle::units::{Micros, Room};
 use hazelsaddle::views::View;
+use serde_json::json;
 
 const EPOCH: u64 = 3;
 
@@ -96,3 +98,27 @@
     assert_eq!(status(node.vetted(at(30), answer(421))), Some((421, None)), "this needs no right");
     assert!(node.vetted(at(30), give_back()).is_none());
 }
+
+/// What is no list of job ids is refused by the field's name; absent, null and empty mean none.
+#[test]
+fn prerequisites_that_are_no_list_of_job_ids_are_malformed() {
+    let parse = |follows: serde_json::Value| {
+        let body = json!({"uid": "wk-1", "breed": "b", "herd": "t", "gait": "batch", "rank": "idle", "strides": 1,
+            "vcpus": 1.0, "cards": 0, "ramGb": 1.0, "tack": "i", "imageGb": 1, "together": false, "scatter": false,
+            "borrowed": false, "rideS": 1, "restS": 0, "unsaddleS": 0, "follows": follows})
+        .to_string();
+        match api::parse(1, "POST", "/v1/jobs", |_| Ok(body)) {
+            Parsed::Answer(r) => (r.status, r.body),
+            Parsed::Event(_) => (0, String::new()),
+        }
+    };
+    for none in [json!(null), json!([]), json!(["wk-2", "wk-2"])] {
+        assert_eq!(parse(none).0, 0);
+    }
+    for wrong in
+        [json!("wk-2"), json!(7), json!({}), json!([2]), json!(["job-2"]), json!(["wk-2", null]), json!([""])]
+    {
+        let (status, body) = parse(wrong.clone());
+        assert!(status == 400 && body.contains("follows"), "{wrong}: {status} {body}");
+    }
+}
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -181,6 +181,8 @@
 enum Ticket {
     Worker(usize, u64),
     User(String, char),
+    /// A test asks.
+    Asked,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -228,6 +230,8 @@
     workers: Vec<Worker>,
     rentals: BTreeMap<String, Vec<String>>,
     tickets: BTreeMap<u64, Ticket>,
+    /// What tests that asked were told.
+    answers: BTreeMap<u64, Reply>,
     jobs: BTreeMap<String, UserJob>,
     /// Their ids in the order in which users thought of them.
     order: Vec<String>,
@@ -271,6 +275,7 @@
             workers: Vec::new(),
             rentals: BTreeMap::new(),
             tickets: BTreeMap::new(),
+            answers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             order: Vec::new(),
             starts: 0,
@@ -379,6 +384,9 @@
                     self.tickets.insert(t, ticket);
                     self.later(1000, What::UserAnswer(t, reply));
                 }
+                Some(Ticket::Asked) => {
+                    self.answers.insert(t, reply);
+                }
                 None => {}
             },
             Effect::Send(p, frame) => {
@@ -1019,6 +1027,23 @@
         self.later(1000, What::Node(n, 0, Event::User(ticket, request)));
     }
 
+    /// Asks a controller and waits for its answer.
+    fn ask(&mut self, n: usize, request: UserRequest) -> Reply {
+        self.serial += 1;
+        let ticket = self.serial;
+        self.tickets.insert(ticket, Ticket::Asked);
+        self.later(1, What::Node(n, 0, Event::User(ticket, request)));
+        let end = self.now + 5 * S;
+        while self.now < end {
+            let next = self.now + S / 10;
+            self.run(0, next);
+            if let Some(reply) = self.answers.remove(&ticket) {
+                return reply;
+            }
+        }
+        panic!("no answer within 5 s");
+    }
+
     fn user_answer(&mut self, id: &str, kind: char, r: &Reply) {
         assert!(r.status != 400 && r.status != 422 && r.status != 409, "{id}: {r:?}");
         if r.status == 503 {
@@ -1436,3 +1461,90 @@
         assert!(w.finished().is_empty(), "seed {seed}: {:?} {:#?} {states:#?}", w.finished(), w.log);
     }
 }
+
+/// What a submission names is looked up before it is taken: each answer by its reason, on every controller,
+/// and never out of ignorance.
+#[test]
+fn a_submission_that_names_what_it_can_not_follow_is_told_why() {
+    let mut w = World::new(900, Shape { jobs: 0, ..SMALL });
+    play_until(&mut w, 30 * S);
+    let body = |id: &str, kind: &str, follows: Value| {
+        json!({"uid": id, "breed": "x", "herd": "t1", "gait": kind, "rank": "idle", "strides": 1, "vcpus": 1.0,
+            "cards": 0, "ramGb": 1.0, "tack": "img", "imageGb": 1.0, "together": false, "scatter": false,
+            "borrowed": false, "rideS": 10.0, "restS": 0.0, "unsaddleS": 0.0, "follows": follows})
+        .to_string()
+    };
+    // Workers look jobs up by their ids, as they would with their users' upload.
+    let known = |w: &mut World, id: &str, kind: &str, follows: Value| {
+        let body = body(id, kind, follows);
+        w.add_job(0);
+        let mut job = w.jobs.remove("wk-000000").expect("added");
+        (job.spec, job.body, job.mistaken) = (Spec::parse(&body).expect("valid"), body, false);
+        (job.next, job.run) = (u64::MAX, 5 * S);
+        w.jobs.insert(id.into(), job);
+    };
+    let submit = |w: &mut World, n: usize, id: &str, kind: &str, follows: Value| {
+        w.ask(n, UserRequest::Submit(id.into(), body(id, kind, follows)))
+    };
+    for (id, kind) in [("wk-000001", "batch"), ("wk-000002", "service")] {
+        known(&mut w, id, kind, Value::Null);
+        assert_eq!(submit(&mut w, 0, id, kind, Value::Null).status, 201);
+    }
+    for n in 0..3 {
+        let mut told = |id: &str, follows: Value| submit(&mut w, n, id, "batch", follows);
+        let unknown = told("wk-000010", json!(["wk-000001", "wk-777777"]));
+        assert_eq!(unknown.status, 422);
+        assert!(unknown.body.contains("wk-777777"), "{}", unknown.body);
+        let service = told("wk-000011", json!(["wk-000002"]));
+        assert!(service.status == 422 && service.body.contains("wk-000002"), "{}", service.body);
+        let itself = told("wk-000012", json!(["wk-000012"]));
+        assert!(itself.status == 422 && itself.body.contains("wk-000012"), "{}", itself.body);
+        let many: Vec<String> = (0..251).map(|i| format!("wk-{i}")).collect();
+        let many = told("wk-000013", json!(many));
+        assert!(many.status == 422 && many.body.contains("250"), "{}", many.body);
+    }
+    // The state service is away: nobody can say whether a job was ever accepted, or take another.
+    w.outage_until = w.now + 3 * S;
+    let away = submit(&mut w, 1, "wk-000014", "batch", json!(["wk-777777"]));
+    assert!(away.status == 503 && away.retry_after.is_some(), "{}", away.body);
+    play_until(&mut w, 60 * S);
+    // A job that is over long since will do; naming it twice counts once.
+    let done = w.ask(0, UserRequest::Query("wk-000001".into()));
+    assert!(done.body.contains("done"), "{}", done.body);
+    known(&mut w, "wk-000015", "batch", json!(["wk-000001", "wk-000001"]));
+    let twice = submit(&mut w, 2, "wk-000015", "batch", json!(["wk-000001", "wk-000001"]));
+    assert_eq!(twice.status, 201, "{}", twice.body);
+    // A retry gets the state as it is, also when the list can't be looked up any more.
+    play_until(&mut w, 90 * S);
+    w.outage_until = w.now + 3 * S;
+    let again = submit(&mut w, 2, "wk-000015", "batch", json!(["wk-000001", "wk-777777"]));
+    assert_eq!(again.status, 200, "{}", again.body);
+}
+
+/// A long list is looked up within the budget of requests: refused at once, and each retry gets further.
+#[test]
+fn a_long_list_of_prerequisites_is_looked_up_over_some_retries() {
+    let mut w = World::new(901, Shape { jobs: 0, ..SMALL });
+    play_until(&mut w, 30 * S);
+    let ids: Vec<String> = (0..200).map(|i| format!("wk-5{i:05}")).collect();
+    for id in &ids {
+        w.store.insert(format!("done/{id}"), (json!({"end": "done", "done": 1}), 1, None));
+    }
+    let body = json!({"uid": "wk-000001", "breed": "x", "herd": "t1", "gait": "batch", "rank": "idle", "strides": 1,
+        "vcpus": 1.0, "cards": 0, "ramGb": 1.0, "tack": "img", "imageGb": 1.0, "together": false, "scatter": false,
+        "borrowed": false, "rideS": 10.0, "restS": 0.0, "unsaddleS": 0.0, "follows": ids})
+    .to_string();
+    let owner = w.nodes[0].as_ref().and_then(|n| n.membership.job_owner("wk-000001")).expect("an owner");
+    let mut refused = 0;
+    loop {
+        let r = w.ask(owner, UserRequest::Submit("wk-000001".into(), body.clone()));
+        if r.status == 201 {
+            break;
+        }
+        assert!(r.status == 503 && r.retry_after == Some(1), "{}", r.body);
+        refused += 1;
+        let then = w.now + S;
+        play_until(&mut w, then);
+    }
+    assert!((2..20).contains(&refused), "{refused} refusals");
+}
