--- /dev/null
+++ b/tests/follow.rs
@@ -0,0 +1,141 @@
+//! Who waits for whom, apart from the rest: ends that come in any order, twice or not at all at first,
+//! urgency that passes on, and the work that one end costs.
+
+use hazelsaddle::jobs::{Final, Owner};
+use hazelsaddle::ring::{EpochRecord, Membership};
+use hazelsaddle::settings::Settings;
+use hazelsaddle::spec::Spec;
+use hazelsaddle::units::{Micros, Ranges};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn parts() -> (Membership, Owner) {
+    let text = "member = \"c0\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\n\
+        state = \"10.0.0.9:2\"\n[settings.workers]\nreport_s = 3.0\nlease_s = 18.0\ngang_wait_s = 30.0\n\
+        gang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\nwrite_rps = 15.0\nvalue_kb = 4.0\n\
+        txn_ops = 8\n[settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n";
+    let s = Settings::parse("test", text).expect("valid");
+    let mut m = Membership::new(&s, 1);
+    m.adopt(Micros(1), &EpochRecord { epoch: 1, members: vec![("c0".into(), 1)] }, 1);
+    let mut owner = Owner::new(&s);
+    owner.adopt(&m, false);
+    owner.load_done(std::iter::empty());
+    (m, owner)
+}
+
+fn add(owner: &mut Owner, id: &str, rank: &str, follows: &[String]) {
+    let raw = json!({"uid": id, "breed": "b", "herd": "t", "gait": "batch", "rank": rank, "strides": 1,
+        "vcpus": 1.0, "cards": 0, "ramGb": 1.0, "tack": "i", "imageGb": 1, "together": false, "scatter": false,
+        "borrowed": false, "rideS": 1, "restS": 0, "unsaddleS": 0, "follows": follows});
+    let spec = Spec::from_value(&raw).expect("valid");
+    owner.insert(raw, spec, Micros(1), Ranges::default(), 1, true);
+}
+
+fn id(n: usize) -> String {
+    format!("wk-{n:06}")
+}
+
+/// Ends are told late, again and in any order, read or watched: a job is released when all that it needs is
+/// done and not before, and ends when one of them was cancelled, whatever the order.
+#[test]
+fn jobs_are_released_by_the_last_end_in_whatever_order_ends_are_told() {
+    for seed in 0..60 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (_, mut owner) = parts();
+        let ends: Vec<Final> =
+            (0..30).map(|_| if rng.random_bool(0.05) { Final::Cancelled } else { Final::Done }).collect();
+        let mut needs: BTreeMap<String, BTreeSet<usize>> = BTreeMap::new();
+        let mut told: BTreeSet<usize> = BTreeSet::new();
+        for step in 0..400 {
+            match rng.random_range(0..4) {
+                0 if needs.len() < 40 => {
+                    let on: BTreeSet<usize> =
+                        (0..rng.random_range(1..5)).map(|_| rng.random_range(0..30)).collect();
+                    let job = id(1000 + needs.len());
+                    add(&mut owner, &job, "idle", &on.iter().map(|&p| id(p)).collect::<Vec<_>>());
+                    needs.insert(job, on);
+                    // What ended before is not known here until it is read.
+                }
+                1 => {
+                    let p = rng.random_range(0..30);
+                    owner.prerequisite_ended(&id(p), ends[p]);
+                    told.insert(p);
+                }
+                2 => {
+                    // A read: of what has ended before, or has not yet.
+                    if let Some(p) = owner.next_unread() {
+                        let n: usize = p[3..].parse().expect("a number");
+                        if told.contains(&n) {
+                            owner.prerequisite_ended(&p, ends[n]);
+                        }
+                    }
+                }
+                _ if step % 50 == 0 => owner.unwatched(),
+                _ => {}
+            }
+            for (job, on) in &needs {
+                let j = &owner.jobs[job];
+                let all = on.iter().all(|p| told.contains(p) && ends[*p] == Final::Done);
+                assert!(j.waits() || all, "seed {seed}: {job} is released too early");
+                let gone = on.iter().any(|p| told.contains(p) && ends[*p] == Final::Cancelled);
+                assert!(j.ending.is_none() || gone, "seed {seed}: {job} ends for nothing");
+            }
+        }
+        // All has ended, and all that is not known is read.
+        owner.unwatched();
+        while let Some(p) = owner.next_unread() {
+            owner.prerequisite_ended(&p, ends[p[3..].parse::<usize>().expect("a number")]);
+        }
+        assert!(!owner.watches());
+        for (job, on) in &needs {
+            let j = &owner.jobs[job];
+            let gone = on.iter().any(|p| ends[*p] == Final::Cancelled);
+            assert_eq!(j.ending, gone.then_some(Final::Cancelled), "seed {seed}: {job}");
+            assert_eq!(j.waits(), gone, "seed {seed}: {job}");
+        }
+    }
+}
+
+/// One end touches those that wait for it and nobody else, however many wait for others, and each
+/// prerequisite is read once, however many wait for it.
+#[test]
+fn an_end_costs_its_followers_only() {
+    let (_, mut owner) = parts();
+    for n in 0..1000 {
+        add(&mut owner, &id(1000 + n), "idle", &[id(n / 10), id(500 + n)]);
+    }
+    let reads = std::iter::from_fn(|| owner.next_unread()).count();
+    assert_eq!(reads, 100 + 1000);
+    owner.replan = false;
+    owner.prerequisite_ended(&id(900_000), Final::Done);
+    assert!(!owner.replan, "nobody waits for this one");
+    owner.prerequisite_ended(&id(7), Final::Cancelled);
+    let touched: Vec<&String> =
+        owner.jobs.iter().filter(|(_, j)| j.ending.is_some()).map(|(id, _)| id).collect();
+    assert_eq!(touched, (1070..1080).map(id).collect::<Vec<_>>().iter().collect::<Vec<_>>());
+    assert!(owner.replan && !owner.is_awaited(&id(7)) && owner.is_awaited(&id(8)));
+}
+
+/// Urgency passes from the last job of a pipeline to its first, and goes with the job that lent it. Lists may
+/// be lost or repeated: the next one says the same.
+#[test]
+fn prerequisites_are_as_urgent_as_what_needs_them() {
+    let (m, mut owner) = parts();
+    add(&mut owner, &id(1), "idle", &[]);
+    add(&mut owner, &id(2), "idle", &[id(1)]);
+    add(&mut owner, &id(3), "high", &[id(2)]);
+    let priority = |o: &Owner, n: usize| o.jobs[&id(n)].spec.priority;
+    for _ in 0..2 {
+        let list = owner.urges(0, &m);
+        owner.urged_by(0, list.clone());
+        owner.urged_by(0, list);
+    }
+    assert_eq!((priority(&owner, 1), priority(&owner, 2), priority(&owner, 3)), (2, 2, 2));
+    owner.jobs.get_mut(&id(3)).expect("live").ending = Some(Final::Cancelled);
+    for _ in 0..2 {
+        let list = owner.urges(0, &m);
+        owner.urged_by(0, list);
+    }
+    assert_eq!((priority(&owner, 1), priority(&owner, 2)), (0, 0), "it needs them no more");
+}
