Owners and homes hand over what they know when an epoch takes jobs or machines from them

Need: a new owner placed nothing of the jobs it took over until every machine on record had reported or was certainly gone, and each epoch began that wait, and the clocks of dead machines, anew. With 1,200 machines some are always dead. Change: crates/takeover keeps what each job waits for (sets of machines that only shrink, over epochs) and delivers parcels; a former owner that lives hands its jobs on with every start that may be alive, a former home its machines with every task listed or in doubt, also one that steps aside. A machine that stays keeps its clock; what others may still answer ends when they say that they know the epoch. New frames stand behind the old ones and go to processes that read form 3 only.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -4,6 +4,7 @@
 
 mod blame;
 mod follow;
+mod handover;
 mod plan;
 mod records;
 mod sync;
@@ -16,6 +17,7 @@
 use crate::spec::{GUARANTEED, Kind, Spec};
 use crate::units::{Micros, Ranges, Room};
 use crate::views::{Seen, View};
+use hazelsaddle_takeover::doubts::{Doubt, Doubts};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -57,6 +59,17 @@
     Ending,
 }
 
+/// What is known of the starts that a job had before it became ours.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// Every start that it may ever have had is known.
+    Complete,
+    /// The names on record are being read: any machine may hold tasks of it.
+    Unread,
+    /// Machines in this set may hold tasks of it.
+    Waits(Doubt),
+}
+
 /// A live job.
 pub struct Job {
     /// What its user asked for.
@@ -66,8 +79,7 @@
     pub accepted_wall: Micros,
     /// Version of its record.
     pub mark: u64,
-    /// Whether every start it may ever have had is known.
-    settled: bool,
+    evidence: Evidence,
     done: Ranges,
     durable: Ranges,
     placed: BTreeMap<u32, Placed>,
@@ -138,6 +150,12 @@
     views: Vec<View>,
     /// Machines that may hold tasks we don't know of.
     unheard: BTreeSet<String>,
+    /// Those that jobs taken over wait for; a job keeps its own over epochs.
+    doubts: Doubts,
+    /// The set that jobs read in this epoch wait for.
+    of_epoch: Option<Doubt>,
+    /// Some set has become empty: jobs may be settled.
+    ends_doubt: bool,
     revs: Vec<u64>,
     /// Starts of which the homes are to hear.
     touched: BTreeSet<Key>,
@@ -198,6 +216,9 @@
             by_machine: BTreeMap::new(),
             views: (0..n).map(|_| View::default()).collect(),
             unheard: BTreeSet::new(),
+            doubts: Doubts::default(),
+            of_epoch: None,
+            ends_doubt: false,
             revs: vec![0; n],
             touched: BTreeSet::new(),
             unacked: vec![BTreeMap::new(); n],
@@ -286,6 +307,12 @@
             *r = (*r).max(m.epoch << 32);
         }
         self.unheard.clear();
+        self.of_epoch = None;
+        let used = self.jobs.values().filter_map(|j| match j.evidence {
+            Evidence::Waits(d) => Some(d),
+            _ => None,
+        });
+        self.doubts.keep(&used.collect());
         self.dirty.fill(true);
         self.demands.clear();
         self.reserved.clear();
@@ -298,6 +325,12 @@
         self.loaded = true;
         self.replan = true;
         self.dirty.fill(true);
+        self.doubts.on_record(&self.unheard);
+        self.of_epoch = self.doubts.open(self.unheard.clone());
+        let read = self.of_epoch.map_or(Evidence::Complete, Evidence::Waits);
+        for j in self.jobs.values_mut().filter(|j| j.evidence == Evidence::Unread) {
+            j.evidence = read;
+        }
         self.settle();
     }
 
@@ -325,7 +358,12 @@
         let job = Job {
             accepted_wall,
             mark,
-            settled: fresh || (self.loaded && self.unheard.is_empty()),
+            evidence: match (fresh, self.loaded, self.of_epoch) {
+                (true, ..) => Evidence::Complete,
+                (_, false, _) => Evidence::Unread,
+                (_, _, Some(d)) if self.doubts.is_open(d) => Evidence::Waits(d),
+                _ => Evidence::Complete,
+            },
             durable: done.clone(),
             done,
             placed: BTreeMap::new(),
@@ -446,9 +484,9 @@
     }
 
     fn settle(&mut self) {
-        if self.loaded && self.unheard.is_empty() {
-            for j in self.jobs.values_mut().filter(|j| !j.settled) {
-                j.settled = true;
+        for j in self.jobs.values_mut() {
+            if matches!(j.evidence, Evidence::Waits(d) if !self.doubts.is_open(d)) {
+                j.evidence = Evidence::Complete;
                 self.replan = true;
             }
         }
@@ -473,6 +511,16 @@
         Room { memory: 0, ..j.spec.room.times((j.placed.len() + left) as i64) }
     }
 
+    /// Some of the machines that have not been heard since the epoch began.
+    pub fn unheard_machines(&self, most: usize) -> impl Iterator<Item = &String> {
+        self.unheard.iter().take(most)
+    }
+
+    /// How many jobs wait for evidence of starts that they may have had under another owner.
+    pub fn in_doubt(&self) -> usize {
+        self.jobs.values().filter(|j| !j.settled()).count()
+    }
+
     /// This controller's number.
     pub fn me(&self) -> usize {
         self.me
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -150,7 +150,7 @@
         // be known first: a claim that shrinks while a machine is unheard would make room for others too soon.
         // One that waits uses nothing, but an old controller may have claimed room for it: left to it, that
         // would be missing to the very job that it waits for.
-        for (id, j) in self.jobs.iter().filter(|(_, j)| (j.ending.is_some() || j.waits()) && j.settled) {
+        for (id, j) in self.jobs.iter().filter(|(_, j)| (j.ending.is_some() || j.waits()) && j.settled()) {
             if teams.limited(&j.spec.team) {
                 out.entry(j.spec.team.clone()).or_default().push(Need {
                     job: id.clone(),
@@ -313,7 +313,7 @@
             // Most jobs have all their tasks placed: they cost a look.
             let placed = j.done.len() as usize + j.placed.len();
             let waits = now < j.not_before || self.blame.waits(now, &id);
-            if !j.settled || waits || placed >= j.spec.tasks as usize {
+            if !j.settled() || waits || placed >= j.spec.tasks as usize {
                 continue;
             }
             let spec = j.spec.clone();
@@ -627,7 +627,7 @@
             let Some(j) = self.jobs.get_mut(&id) else { continue };
             if !held {
                 // A gang taken over is complete only when every machine has been heard.
-                if !j.settled {
+                if !j.settled() {
                     continue;
                 }
                 self.end_gang(&id);
--- a/src/jobs/sync.rs
+++ b/src/jobs/sync.rs
@@ -141,7 +141,9 @@
             }
         }
         self.views = views;
-        self.settle();
+        if std::mem::take(&mut self.ends_doubt) {
+            self.settle();
+        }
         self.replan = true;
         true
     }
@@ -292,6 +294,7 @@
         }
         if standing != Standing::Unconfirmed {
             self.unheard.remove(name);
+            self.ends_doubt |= self.doubts.heard(name);
         }
     }
 
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+mod handover;
+
 /// A worker's report.
 #[derive(Deserialize, Clone, Debug, PartialEq)]
 pub struct Report {
@@ -177,6 +179,10 @@
     /// When the last report came; for one that never reported, when it became ours.
     heard_at: Micros,
     reported: bool,
+    /// While its tasks are not known: when at the latest anybody else can have answered it. None: as the present
+    /// epoch says. One that stays ours keeps the word of the epoch in which it became ours, or its lease would
+    /// begin anew with each.
+    answered: Option<Micros>,
     notice_at: Option<Micros>,
     entries: BTreeMap<TaskKey, Entry>,
     draining: bool,
@@ -252,6 +258,8 @@
     /// What owners want of starts on machines that have yet to say what they hold. A wish is said only
     /// once, and a machine's first report in an epoch may come after it.
     early: BTreeMap<String, BTreeMap<TaskKey, Wanted>>,
+    /// From when on nobody else can be answering workers, by what this epoch says.
+    older_silent: Micros,
 }
 
 impl Home {
@@ -267,6 +275,7 @@
             next_tick: Micros(0),
             returned: BTreeSet::new(),
             early: BTreeMap::new(),
+            older_silent: Micros(0),
         }
     }
 
@@ -293,9 +302,17 @@
             if x.record == Record::Asked {
                 x.record = Record::No;
             }
-            if !follows && x.standing == Standing::Known {
-                x.standing = Standing::Unconfirmed;
-                x.heard_at = now;
+            match (follows, x.standing) {
+                (false, Standing::Known) => {
+                    x.standing = Standing::Unconfirmed;
+                    x.heard_at = now;
+                }
+                // Nobody but us can have answered it since the epoch before.
+                (true, Standing::Unconfirmed) => x.answered = x.answered.or(Some(self.older_silent)),
+                _ => {}
+            }
+            if !follows {
+                x.answered = None;
             }
             x.entries
                 .retain(|k, e| e.on_machine() || (follows && owner_before(&k.job) == m.job_owner(&k.job)));
@@ -303,6 +320,7 @@
         if !follows {
             self.decided.clear();
         }
+        self.older_silent = m.older_silent_at();
     }
 
     /// The store names a machine that had tasks once; it may still have.
@@ -598,6 +616,7 @@
             return;
         }
         self.next_tick = now + Micros::from_millis(200);
+        self.older_silent = m.older_silent_at();
         let margin = Micros(self.worker_lease.0 / 40 + 250_000);
         for (name, x) in &mut self.machines {
             // A known machine was last answered by us, no earlier than its last report; no other
@@ -605,7 +624,7 @@
             // answered under an older token until those fell silent.
             let last_answer = match x.standing {
                 Standing::Known => x.heard_at,
-                Standing::Unconfirmed => x.heard_at.max(m.older_silent_at()),
+                Standing::Unconfirmed => x.last_answer(self.older_silent),
                 Standing::Gone => continue,
             };
             let over = now >= last_answer + self.worker_lease.stretched() + margin;
@@ -778,6 +797,7 @@
             last: (0, 0),
             heard_at: now,
             reported: false,
+            answered: None,
             notice_at: None,
             entries: BTreeMap::new(),
             draining: false,
@@ -787,6 +807,12 @@
             version: 0,
         }
     }
+    /// When at the latest anybody can have answered a machine whose tasks are not known; `others`: until when
+    /// somebody else may have, by what the epoch says.
+    fn last_answer(&self, others: Micros) -> Micros {
+        let others = self.answered.unwrap_or(others);
+        if self.reported { self.heard_at.max(others) } else { others }
+    }
     /// Free room; None while some task's needs are unknown.
     fn free(&self, total: Room) -> Option<Room> {
         let mut free = total;
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,12 +4,14 @@
 
 mod epochs;
 mod follow;
+mod handover;
 mod links;
 mod records;
 mod users;
 mod workers;
 
 use self::follow::Follow;
+use self::handover::Handover;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
 use crate::machines::{Home, Report, Verdict};
@@ -186,6 +188,7 @@
     // Users.
     accepting: BTreeMap<String, Accepting>,
     follow: Follow,
+    handover: Handover,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
     withdrawing: BTreeMap<String, Vec<Origin>>,
     asked: BTreeMap<u64, Asked>,
@@ -243,6 +246,7 @@
             next_team_plan: Micros(0),
             accepting: BTreeMap::new(),
             follow: Follow::default(),
+            handover: Handover::new(n),
             lookups: BTreeMap::new(),
             withdrawing: BTreeMap::new(),
             asked: BTreeMap::new(),
@@ -378,7 +382,9 @@
             out.push(Effect::Cloud(r));
         }
         self.follow_loop(now, out);
+        self.membership.note_stopped(now);
         self.say(now, out);
+        self.say_parcels(now, out);
         self.held_reports(now, out);
         self.overdue(now, out);
         self.last_round = now;
@@ -415,6 +421,7 @@
             "decider": m.decider().map(|d| m.name(d)),
             "records_read": self.owner.loaded,
             "machines_unheard": self.owner.unheard(),
+            "takeover": self.takeover_status(now),
             "home": {"machines": machines, "known": known},
             "jobs": {"live": jobs, "tasks_placed": placed, "tasks_left": left},
             "waiting": {"jobs": waiting.len(), "oldest": oldest},
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -22,7 +22,7 @@
 
     /// The key that shows that this process lives, and whether it wants a place on the ring.
     fn own_key(&self, lease: u64, aside: bool) -> (String, Value, Option<u64>) {
-        let mut value = json!({"boot": self.boot, "reads": follow::FORM});
+        let mut value = json!({"boot": self.boot, "reads": follow::NEWEST});
         if aside {
             value["aside"] = true.into();
         }
@@ -164,6 +164,7 @@
                 if self.membership.is_in(&record) {
                     self.adopt(now, &record, mark, out);
                 } else {
+                    self.hand_over_on_leaving(now, &record, mark);
                     self.seen = Some((record, mark, now));
                 }
                 self.ring_again(now, 0);
@@ -184,6 +185,7 @@
         self.strays.fill_with(Strays::default);
         let follows = self.membership.adopt(now, record, mark);
         tracing::info!(epoch = record.epoch, members = ?record.members.iter().map(|(n, _)| n).collect::<Vec<_>>(), follows, "epoch adopted");
+        self.hand_over(now, follows);
         self.home.adopt(now, &self.membership, follows, |job| ring_before.owner(&format!("job/{job}")));
         self.owner.adopt(&self.membership, follows);
         // All records are read again, by everybody.
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -3,9 +3,11 @@
 
 use super::*;
 
-/// The newest form of peers' frames that this version reads; it says so in its member's value.
-/// Version 1 says nothing. Form 2 adds `Message::Needed`, and prerequisites in submissions.
+/// The form of peers' frames from which on jobs may follow others; `Message::Needed` came with it.
 pub(super) const FORM: u64 = 2;
+/// The newest form that this version reads; it says so in its member's value. Version 1 says nothing. Form 3 adds
+/// `Message::HandOver` and `Message::Taken`.
+pub(super) const NEWEST: u64 = 3;
 /// Says that every controller has read form 2 at one time, so that one that is merely away need not
 /// be waited for. It lies among the members' keys, which are read anyway; the first version skips it,
 /// since it is no member's name.
@@ -84,15 +86,20 @@
         f.all_once && f.forms.iter().all(|(_, form)| *form == 0 || *form >= FORM)
     }
 
-    /// Whether the process behind a peer's link reads form 2: its member's value says so, and its frames
+    /// Whether the process behind a peer's link reads this form: its member's value says so, and its frames
     /// come from that process. One that was restarted as an older version has another number.
-    pub(super) fn reads_new(&self, peer: usize) -> bool {
+    pub(super) fn reads(&self, peer: usize, least: u64) -> bool {
         peer == self.settings.me
             || self.follow.forms.get(peer).is_some_and(|(boot, form)| {
-                *form >= FORM && self.clocks.get(peer).is_some_and(|(b, _)| b == boot)
+                *form >= least && self.clocks.get(peer).is_some_and(|(b, _)| b == boot)
             })
     }
 
+    /// Whether it reads of jobs that follow others.
+    pub(super) fn reads_new(&self, peer: usize) -> bool {
+        self.reads(peer, FORM)
+    }
+
     /// Tells the owners of prerequisites how urgent the jobs are that wait for them: the whole list, so
     /// that a lost message heals. Called once in a digest period.
     pub(super) fn say_needs(&mut self, now: Micros, out: &mut Vec<Effect>) {
--- /dev/null
+++ b/src/node/handover.rs
@@ -0,0 +1,181 @@
+//! Handing over to the next owner and home, and taking from the last.
+
+use super::*;
+use crate::peer::{HandedJob, HandedMachine, Parcel};
+use crate::ring::Membership;
+use hazelsaddle_takeover::parcels::{Inbox, Outbox};
+
+/// The form of peers' frames that this needs.
+const FORM: u64 = 3;
+/// Starts in one parcel, so that none holds up what travels behind it for long.
+const STARTS: usize = 1500;
+
+/// Jobs and the sets of machines that they wait for.
+type Jobs = (Vec<HandedJob>, Vec<Vec<String>>);
+
+/// Parcels out and in, and what this epoch's takeover came to.
+pub(super) struct Handover {
+    out: Outbox<Parcel>,
+    /// Jobs that came before the records were read.
+    jobs: Inbox<Jobs>,
+    /// Per controller, the parcels of its that we have and have not said so.
+    owed: Vec<Vec<u64>>,
+    /// Since when this epoch's takeover has been under way; None: every job's starts are known.
+    since: Option<Micros>,
+    taken_jobs: usize,
+    taken_machines: usize,
+}
+
+impl Handover {
+    pub(super) fn new(controllers: usize) -> Handover {
+        Handover {
+            out: Outbox::default(),
+            jobs: Inbox::default(),
+            owed: vec![Vec::new(); controllers],
+            since: None,
+            taken_jobs: 0,
+            taken_machines: 0,
+        }
+    }
+    pub(super) fn acknowledged(&mut self, from: usize, numbers: &[u64]) {
+        self.out.acknowledged(from, numbers);
+    }
+}
+
+/// Splits a list into pieces that weigh little.
+fn pieces<T>(list: Vec<T>, weight: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let mut out: Vec<Vec<T>> = Vec::new();
+    let mut room = 0;
+    for x in list {
+        let w = weight(&x) + 1;
+        match out.last_mut() {
+            Some(piece) if w <= room => piece.push(x),
+            _ => {
+                out.push(vec![x]);
+                room = STARTS;
+            }
+        }
+        room = room.saturating_sub(w);
+    }
+    out
+}
+
+impl Node {
+    /// A new epoch has been adopted by the membership, and by nothing else yet. What it gives to others is handed to them
+    /// if nobody else can have commanded it in between.
+    pub(super) fn hand_over(&mut self, now: Micros, follows: bool) {
+        let h = &mut self.handover;
+        h.out.clear();
+        h.jobs.clear();
+        h.owed.iter_mut().for_each(Vec::clear);
+        (h.since, h.taken_jobs, h.taken_machines) = (Some(now), 0, 0);
+        if follows {
+            let next = self.membership.clone();
+            self.pack(now, &next);
+        }
+    }
+
+    /// It has left the ring by its own decision, and commands nothing any more.
+    pub(super) fn hand_over_on_leaving(&mut self, now: Micros, record: &EpochRecord, mark: u64) {
+        let mut next = self.membership.clone();
+        self.handover.out.clear();
+        if next.adopt(now, record, mark) {
+            self.pack(now, &next);
+        }
+    }
+
+    fn pack(&mut self, now: Micros, next: &Membership) {
+        let jobs = self.owner.hand_over(next);
+        let machines = self.home.hand_over(now, next);
+        let (of_jobs, of_machines) = (
+            jobs.values().map(|p| p.jobs.len()).sum::<usize>(),
+            machines.values().map(Vec::len).sum::<usize>(),
+        );
+        if of_jobs + of_machines > 0 {
+            tracing::info!(epoch = next.epoch, jobs = of_jobs, machines = of_machines, "handing over");
+        }
+        for (to, list) in machines {
+            for machines in pieces(list, |m: &HandedMachine| m.tasks.len()) {
+                self.handover.out.pack(now, to, Parcel { machines, ..Parcel::default() });
+            }
+        }
+        for (to, Parcel { jobs, doubts, .. }) in jobs {
+            for jobs in pieces(jobs, |j: &HandedJob| j.starts.len()) {
+                let doubts = doubts.clone();
+                self.handover.out.pack(now, to, Parcel { jobs, doubts, machines: Vec::new() });
+            }
+        }
+    }
+
+    /// Sends parcels that are due, and says which have come.
+    pub(super) fn say_parcels(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let pause = self.settings.digest;
+        for p in (0..self.settings.members.len()).filter(|&p| p != self.settings.me) {
+            if !self.reads(p, FORM) {
+                continue;
+            }
+            for (number, parcel) in self.handover.out.due(now, p, pause) {
+                out.push(Effect::Send(p, self.envelope(now, p, Message::HandOver { number, parcel })));
+            }
+            let owed = std::mem::take(&mut self.handover.owed[p]);
+            if !owed.is_empty() {
+                out.push(Effect::Send(p, self.envelope(now, p, Message::Taken(owed))));
+            }
+        }
+        if let Some(since) = self.handover.since
+            && self.owner.loaded
+            && self.owner.in_doubt() == 0
+        {
+            self.handover.since = None;
+            let h = &self.handover;
+            tracing::info!(
+                epoch = self.membership.epoch,
+                seconds = now.since(since).secs(),
+                handed_jobs = h.taken_jobs,
+                handed_machines = h.taken_machines,
+                unheard = self.owner.unheard(),
+                "taken over: every job's starts are known"
+            );
+        }
+    }
+
+    /// A parcel of this epoch has come.
+    pub(super) fn parcel(&mut self, now: Micros, from: usize, boot: u64, number: u64, parcel: Parcel) {
+        if let Some(owed) = self.handover.owed.get_mut(from) {
+            owed.push(number);
+        }
+        // One that comes again finds its machines known, and its jobs settled.
+        for m in parcel.machines {
+            self.handover.taken_machines += usize::from(self.home.handed(now, &self.membership, m));
+        }
+        if !parcel.jobs.is_empty()
+            && self.handover.jobs.take(from, boot, number, (parcel.jobs, parcel.doubts))
+        {
+            self.unpack(now);
+        }
+    }
+
+    /// Jobs that were handed to us, once it is known from the records which are live.
+    pub(super) fn unpack(&mut self, now: Micros) {
+        if !self.owner.loaded {
+            return;
+        }
+        for (_, (jobs, doubts)) in self.handover.jobs.unpack() {
+            self.handover.taken_jobs += self.owner.handed(now, jobs, &doubts);
+        }
+    }
+
+    /// How this epoch's takeover stands, for operators.
+    pub(super) fn takeover_status(&self, now: Micros) -> Value {
+        let h = &self.handover;
+        let waits: Vec<&String> = self.owner.unheard_machines(SHOWN).collect();
+        json!({
+            "under_way_s": h.since.map(|t| now.since(t).secs()),
+            "jobs_in_doubt": self.owner.in_doubt(),
+            "jobs_handed_to_us": h.taken_jobs,
+            "machines_handed_to_us": h.taken_machines,
+            "parcels_not_acknowledged": h.out.len(),
+            "waits_for_machines": waits,
+        })
+    }
+}
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -79,6 +79,8 @@
                 self.aside.stray(now, ours);
             }
             Message::Needed(list) if same => self.owner.urged_by(from, list),
+            Message::HandOver { number, parcel } if same => self.parcel(now, from, f.boot, number, parcel),
+            Message::Taken(numbers) if same => self.handover.acknowledged(from, &numbers),
             Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
             Message::Answer { id, reply } => {
                 if let Some(a) = self.asked.remove(&id) {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -90,6 +90,7 @@
                 machines = self.owner.unheard(),
                 "records read"
             );
+            self.unpack(now);
         }
     }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -255,6 +255,108 @@
     /// From form 2 on: to the owner of jobs that the sender's waiting jobs need, how urgent those are.
     /// Sent only to processes that read form 2: the others would drop the link.
     Needed(Vec<(String, u8)>),
+    /// From form 3 on: what the sender knew of jobs and machines that are the receiver's in this epoch and were the
+    /// sender's in the one directly before it.
+    HandOver {
+        /// The sender's number for it.
+        number: u64,
+        /// What it holds.
+        parcel: Parcel,
+    },
+    /// From form 3 on: the sender has these parcels of the receiver's.
+    Taken(Vec<u64>),
+}
+
+/// Jobs and machines handed over. The sender commands none of them any more.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, Default, PartialEq)]
+pub struct Parcel {
+    /// Jobs, for their new owner.
+    pub jobs: Vec<HandedJob>,
+    /// Sets of machines that may hold tasks of handed jobs unknown to the sender.
+    pub doubts: Vec<Vec<String>>,
+    /// Machines, for their new home.
+    pub machines: Vec<HandedMachine>,
+}
+
+/// A job as its owner of the epoch before knew it.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct HandedJob {
+    /// The job.
+    pub id: String,
+    /// Its completed tasks, also those not yet on record, as ranges.
+    pub done: String,
+    /// Starts that may be on a machine.
+    pub starts: Vec<HandedStart>,
+    /// Which of the parcel's sets of machines may hold other tasks of it; None: no machine does.
+    pub doubt: Option<u32>,
+}
+
+/// A start that may be on a machine, or on its way there.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct HandedStart {
+    /// The task's number.
+    pub index: u32,
+    /// Which start.
+    pub attempt: u64,
+    /// The machine.
+    pub machine: String,
+    /// The machine's zone.
+    pub zone: String,
+    /// Whether it is being stopped.
+    pub stopping: bool,
+    /// Where it stood, if its home had said.
+    pub phase: Option<Phase>,
+}
+
+/// A machine as its home of the epoch before knew it.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct HandedMachine {
+    /// The machine.
+    pub name: String,
+    /// Its type.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Where it takes direct commands.
+    pub addr: String,
+    /// Whether its name is on record.
+    pub on_record: bool,
+    /// Whether its tasks were exactly those listed here, or on their way with an answer to the latest report.
+    pub known: bool,
+    /// Session and number of its latest report.
+    pub last: (u64, u64),
+    /// How long ago, as of packing, the latest report came; if it is not known: how long ago nobody could have
+    /// answered it any more.
+    pub silent: Micros,
+    /// Time until the cloud takes it away, if that was announced.
+    pub notice: Option<Micros>,
+    /// How long it has been without a task, if it is.
+    pub idle: Option<Micros>,
+    /// Images that it is likely to have.
+    pub images: Vec<u64>,
+    /// Its tasks.
+    pub tasks: Vec<HandedTask>,
+}
+
+/// A task on a handed machine.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct HandedTask {
+    /// Which start.
+    pub key: TaskKey,
+    /// What it takes, if its owner has said.
+    pub room: Option<Room>,
+    /// Priority of its job.
+    pub priority: u8,
+    /// Hash of its image's name.
+    pub image: u64,
+    /// Where it stands.
+    pub phase: Phase,
+    /// What its owner wants.
+    pub want: Option<Want>,
+    /// Session and number of the report with whose answer the start went out.
+    pub sent_to: (u64, u64),
 }
 
 /// A user's request.
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -17,6 +17,7 @@
 }
 
 /// What this controller knows of the ring and of its own right to act.
+#[derive(Clone)]
 pub struct Membership {
     names: Vec<String>,
     /// This controller's number.
@@ -42,6 +43,8 @@
     heard: Vec<(u64, Micros)>,
     /// A newer epoch's ring, known from peers only. It says whom to ask; it gives no right to act.
     hearsay: Option<(u64, Ring, Micros)>,
+    /// Since when, in this epoch, every other controller is known to have stopped acting under older ones.
+    stopped_at: Option<Micros>,
     /// It has stepped aside: it leaves the ring by its own decision and acts no more.
     pub aside: bool,
 }
@@ -63,6 +66,7 @@
             store_until: Micros(0),
             heard: vec![(0, Micros(0)); s.members.len()],
             hearsay: None,
+            stopped_at: None,
             aside: false,
         }
     }
@@ -88,6 +92,7 @@
         self.members = r.members.iter().filter_map(|(m, _)| self.names.iter().position(|n| n == m)).collect();
         self.ring = Ring::new(&self.names, &self.members);
         self.adopted_at = now;
+        self.stopped_at = None;
         follows
     }
 
@@ -190,9 +195,17 @@
         })
     }
 
-    /// From when on no older token can be answering any worker.
+    /// Called at every round: notes the first moment of this epoch at which `others_have_stopped`.
+    pub fn note_stopped(&mut self, now: Micros) {
+        if self.stopped_at.is_none() && self.epoch > 0 && self.others_have_stopped(now) {
+            self.stopped_at = Some(now);
+        }
+    }
+
+    /// From when on no older token can be answering any worker: when all others had said that they know this
+    /// epoch, or had certainly lost their right; before that is seen, when they will have lost it.
     pub fn older_silent_at(&self) -> Micros {
-        self.adopted_at + self.member_lease.stretched()
+        self.stopped_at.unwrap_or(self.adopted_at + self.member_lease.stretched())
     }
 
     /// The owner of a job.
--- a/tests/compat.rs
+++ b/tests/compat.rs
@@ -176,6 +176,49 @@
     assert_eq!(Frame::decode(&f.encode().expect("encoded")[4..]), Some(f));
 }
 
+#[test]
+fn the_messages_of_the_third_form_survive_the_trip() {
+    let key = TaskKey { job: "wk-000412".into(), index: 3, attempt: (7 << 24) + 2 };
+    let start = HandedStart {
+        index: 3,
+        attempt: key.attempt,
+        machine: "i-000231".into(),
+        zone: "buda-a".into(),
+        stopping: true,
+        phase: Some(Phase::InDoubt),
+    };
+    let task = HandedTask {
+        key,
+        room: Some(room(2)),
+        priority: 12,
+        image: 99,
+        phase: Phase::Running,
+        want: Some(Want::Keep),
+        sent_to: (1, 88),
+    };
+    let machine = HandedMachine {
+        name: "i-000231".into(),
+        kind: "tolgy16".into(),
+        zone: "buda-a".into(),
+        spot: false,
+        addr: "10.1.0.232:9000".into(),
+        on_record: true,
+        known: true,
+        last: (1, 90),
+        silent: Micros(400_000),
+        notice: None,
+        idle: None,
+        images: vec![7],
+        tasks: vec![task],
+    };
+    let job = HandedJob { id: "wk-000412".into(), done: "0-2".into(), starts: vec![start], doubt: Some(0) };
+    let parcel = Parcel { jobs: vec![job], doubts: vec![vec!["i-000007".into()]], machines: vec![machine] };
+    for body in [Message::HandOver { number: 4, parcel }, Message::Taken(vec![4, 5])] {
+        let f = frame(body);
+        assert_eq!(Frame::decode(&f.encode().expect("encoded")[4..]), Some(f));
+    }
+}
+
 #[test]
 fn values_that_production_stored_are_read_and_written_alike() {
     let all = fixtures();
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -401,7 +401,7 @@
             Effect::Send(p, frame) => {
                 if self.limited[p] {
                     let new = match &frame.body {
-                        Message::Needed(_) => true,
+                        Message::Needed(_) | Message::HandOver { .. } | Message::Taken(_) => true,
                         Message::Ask { request: UserRequest::Submit(_, body), .. } => {
                             body.contains("\"follows\":[\"") && !self.limited[n]
                         }
