Handed jobs and machines tested by messages lost, late and doubled; a process's clock starts at an hour

Need: what a parcel says happened a while ago has no place on the clock of a process that has just started, so ages were cut short. Change: the steady clock starts at an hour. tests/handover.rs (parcels late, twice, overtaken by reports), two seeded worlds: takeovers that follow one another, and a machine that is waited for once.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -21,6 +21,9 @@
 const STORE_PATIENCE: Duration = Duration::from_millis(2000);
 /// Events that wait for the controller's thread; requests beyond that are turned away at once.
 const QUEUE: usize = 2000;
+/// Where the steady clock starts. Zero means "never" in the slices, and what others say happened a while ago must have
+/// its place on the clock of a process that has just started.
+const CLOCK_START: Micros = Micros::from_millis(3_600_000);
 /// Events taken between two rounds of reconciling.
 const BATCH: usize = 64;
 
@@ -162,8 +165,7 @@
     let mut node = Node::new(settings, boot);
     let mut open: HashMap<u64, tiny_http::Request> = HashMap::new();
     let mut out = Vec::new();
-    // The steady clock starts above zero: zero means "never" in the slices.
-    let clock = || Micros(1_000_000 + start.elapsed().as_micros() as u64);
+    let clock = || Micros(CLOCK_START.0 + start.elapsed().as_micros() as u64);
     let wall = || Micros(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64));
     loop {
         let mut next = first_rx.try_recv().ok().or_else(|| {
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,331 @@
+//! What a home and an owner hand to the next: taken for complete where it is, never for more, and without harm when it
+//! comes late or twice.
+
+use hazelsaddle::jobs::Owner;
+use hazelsaddle::machines::{Home, Report, ReportedTask, Verdict};
+use hazelsaddle::peer::*;
+use hazelsaddle::ring::{EpochRecord, Membership};
+use hazelsaddle::settings::Settings;
+use hazelsaddle::spec::Spec;
+use hazelsaddle::teams::Teams;
+use hazelsaddle::units::{Micros, Ranges, Room};
+use serde_json::{Value, json};
+
+const ROOM: Room = Room { cpus: 4000, gpus: 0, memory: 8000 };
+
+fn at(s: f64) -> Micros {
+    Micros::from_secs(s)
+}
+
+fn settings(me: usize) -> Settings {
+    let other = 1 - me;
+    let text = format!(
+        "member = \"c{me}\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[[seeds]]\nmember = \"c{other}\"\n\
+        addr = \"10.0.0.2:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\nstate = \"10.0.0.9:2\"\n[settings]\n\
+        [[settings.teams]]\nname = \"t\"\n[settings.workers]\nreport_s = 3.0\nlease_s = 18.0\ngang_wait_s = 30.0\n\
+        gang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\nwrite_rps = 15.0\nvalue_kb = 4.0\n\
+        txn_ops = 8\n[settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n"
+    );
+    Settings::parse("test", &text).expect("valid")
+}
+
+fn record(epoch: u64, members: &[usize]) -> EpochRecord {
+    EpochRecord { epoch, members: members.iter().map(|m| (format!("c{m}"), 1)).collect() }
+}
+
+/// c0 alone in epoch 7, and c1 beside it from epoch 8 on; and names that move to c1 then.
+struct Two {
+    before: Membership,
+    next: Membership,
+    new: Membership,
+    machine: String,
+    job: String,
+}
+
+fn two() -> Two {
+    let (a, b) = (settings(0), settings(1));
+    let mut before = Membership::new(&a, 1);
+    before.adopt(at(10.0), &record(7, &[0]), 1);
+    let mut next = before.clone();
+    assert!(next.adopt(at(100.0), &record(8, &[0, 1]), 2), "it follows directly");
+    let mut new = Membership::new(&b, 1);
+    new.adopt(at(1001.0), &record(8, &[0, 1]), 2);
+    let moves = |p: &str, owner: &dyn Fn(&str) -> Option<usize>| {
+        (0..).map(|i| format!("{p}-{i:06}")).find(|n| owner(n) == Some(1)).expect("one of many")
+    };
+    let machine = moves("i", &|n| new.home(n));
+    let job = moves("wk", &|n| new.job_owner(n));
+    Two { before, next, new, machine, job }
+}
+
+fn report(t: &Two, seq: u64, token: u64, tasks: &[(u64, &str)]) -> Report {
+    let task = |&(attempt, state): &(u64, &str)| ReportedTask {
+        task: format!("{}/0", t.job),
+        attempt,
+        state: state.into(),
+        why: None,
+        saved: None,
+    };
+    Report {
+        machine: t.machine.clone(),
+        addr: String::new(),
+        kind: "k".into(),
+        zone: "z".into(),
+        spot: false,
+        session: 1,
+        seq,
+        token,
+        notice_s: None,
+        tasks: tasks.iter().map(task).collect(),
+    }
+}
+
+fn wanted(t: &Two, attempt: u64, want: Want) -> Wanted {
+    Wanted {
+        key: TaskKey { job: t.job.clone(), index: 0, attempt },
+        machine: t.machine.clone(),
+        room: Room { cpus: 3000, gpus: 0, memory: 0 },
+        want,
+        priority: 0,
+        image: 0,
+    }
+}
+
+fn whole(rev: u64, list: Vec<Wanted>) -> Wishes {
+    Wishes { rev, since: 0, list, dropped: Vec::new() }
+}
+
+/// The old home, which has just sent out a start, and the new one.
+fn homes(t: &Two) -> (Home, Home) {
+    let mut old = Home::new(&settings(0));
+    old.adopt(at(10.0), &t.before, false, |_| None);
+    assert_eq!(old.report(at(99.0), &t.before, &report(t, 1, 7, &[])), Verdict::Taken);
+    old.on_record(&t.machine);
+    old.wanted(at(99.1), 0, &whole(1, vec![wanted(t, 5, Want::Run)]), &t.before, |_| Some(ROOM));
+    assert_eq!(old.orders(&t.before, &t.machine).expect("known").commands.len(), 1);
+    let mut new = Home::new(&settings(1));
+    new.adopt(at(1001.0), &t.new, false, |_| None);
+    (old, new)
+}
+
+fn digest(home: &Home, now: Micros, t: &Two) -> MachineDigest {
+    home.digest(now, &t.new, 1, 0, |_| Some(ROOM)).machines.remove(0)
+}
+
+#[test]
+fn a_handed_machine_is_known_at_once_with_the_start_that_is_in_doubt() {
+    let t = two();
+    let (old, mut new) = homes(&t);
+    let mut parcels = old.hand_over(at(100.0), &t.next);
+    let machine = parcels.remove(&1).expect("it moves").remove(0);
+    assert!(new.handed(at(1005.0), &t.new, machine.clone()));
+    let d = digest(&new, at(1005.0), &t);
+    assert_eq!((d.standing, d.free.cpus, d.tasks[0].phase), (Standing::Known, 1000, Phase::InDoubt));
+    assert!(!new.handed(at(1005.1), &t.new, machine.clone()), "twice changes nothing");
+    // No room beside the start in doubt, no second start of its task.
+    new.wanted(at(1005.2), 1, &whole(1, vec![wanted(&t, 6, Want::Run)]), &t.new, |_| Some(ROOM));
+    assert!(new.orders(&t.new, &t.machine).expect("known").commands.is_empty());
+    // The start never arrived: the next report says so.
+    assert_eq!(new.report(at(1006.0), &t.new, &report(&t, 2, 7, &[])), Verdict::Taken);
+    assert_eq!(digest(&new, at(1006.0), &t).free.cpus, 4000);
+    // The parcel once more, late: nothing comes back.
+    new.handed(at(1007.0), &t.new, machine);
+    assert!(digest(&new, at(1007.0), &t).tasks.is_empty());
+}
+
+#[test]
+fn a_report_that_came_before_the_parcel_says_all_there_is_and_an_older_one_nothing() {
+    for (seq, cpus) in [(2, 4000), (1, 1000)] {
+        let t = two();
+        let (old, mut new) = homes(&t);
+        // It shows the old token: alone it proves nothing.
+        new.report(at(1004.0), &t.new, &report(&t, seq, 7, &[]));
+        assert_eq!(digest(&new, at(1004.0), &t).standing, Standing::Unconfirmed);
+        let machine = old.hand_over(at(100.0), &t.next).remove(&1).expect("it moves").remove(0);
+        new.handed(at(1005.0), &t.new, machine);
+        let d = digest(&new, at(1005.0), &t);
+        assert_eq!((d.standing, d.free.cpus), (Standing::Known, cpus), "report {seq}");
+    }
+}
+
+#[test]
+fn what_owners_want_of_a_machine_before_its_parcel_comes_is_not_lost() {
+    let t = two();
+    let (old, mut new) = homes(&t);
+    new.report(at(1004.0), &t.new, &report(&t, 2, 7, &[(5, "running")]));
+    let stop = wanted(&t, 5, Want::Stop(Micros(0)));
+    new.wanted(at(1004.5), 1, &whole(1, vec![stop]), &t.new, |_| Some(ROOM));
+    let machine = old.hand_over(at(100.0), &t.next).remove(&1).expect("it moves").remove(0);
+    new.handed(at(1005.0), &t.new, machine);
+    let told = new.orders(&t.new, &t.machine).expect("known").commands;
+    assert_eq!(told.iter().map(|c| c.op).collect::<Vec<_>>(), ["kill"]);
+}
+
+/// The end of a machine that was silent before the epoch is counted from then, and one whose end is not certain yet is
+/// not vouched for.
+#[test]
+fn the_clock_of_a_machine_that_nobody_knows_goes_on() {
+    let t = two();
+    let r = hazelsaddle::machines::MachineRecord {
+        kind: "k".into(),
+        zone: "z".into(),
+        spot: false,
+        addr: String::new(),
+    };
+    for (packed, known_at) in [(30.0, 10.0), (12.0, f64::NAN)] {
+        let mut old = Home::new(&settings(0));
+        old.adopt(at(10.0), &t.before, false, |_| None);
+        old.recorded(at(10.0), &t.machine, r.clone());
+        let parcels = old.hand_over(at(packed), &t.next);
+        let mut new = Home::new(&settings(1));
+        new.adopt(at(1001.0), &t.new, false, |_| None);
+        new.recorded(at(1001.0), &t.machine, r.clone());
+        if known_at.is_nan() {
+            assert!(parcels.is_empty(), "others may still be answering it");
+        } else {
+            let machine = parcels[&1][0].clone();
+            assert!(!machine.known);
+            new.handed(at(1001.5), &t.new, machine);
+        }
+        // A worker's lease and its margin after 16 s, when the last right of the epoch before ended: by the old home's
+        // clock at 35, so 5 s after packing; by the new one's own a member lease, a worker lease and the margin after 1 s.
+        let mut over = 1002.0;
+        while digest(&new, at(over), &t).standing == Standing::Unconfirmed {
+            over += 0.25;
+            new.tick(at(over), &t.new);
+            assert!(over < 1060.0);
+        }
+        let bound = if known_at.is_nan() { 1025.0..1027.0 } else { 1006.0..1008.0 };
+        assert!(bound.contains(&over), "packed at {packed}: {over}");
+    }
+}
+
+fn raw(id: &str, kind: &str, tasks: u32) -> Value {
+    json!({"uid":id,"breed":"b","herd":"t","gait":kind,"rank":"high","strides":tasks,"vcpus":2.0,"cards":0,"ramGb":1.0,
+        "tack":"i","imageGb":1,"together":true,"scatter":false,"borrowed":true,"rideS":1,"restS":0,"unsaddleS":0})
+}
+
+/// The new owner of a job, with a machine that has not been heard and one that has room.
+fn owner(t: &Two, kind: &str, tasks: u32) -> (Owner, Teams, MachineDigest) {
+    let s = settings(1);
+    let mut o = Owner::new(&s);
+    o.adopt(&t.new, false);
+    let raw = raw(&t.job, kind, tasks);
+    o.insert(raw.clone(), Spec::from_value(&raw).expect("valid"), Micros(1), Ranges::default(), 1, false);
+    o.load_done([t.machine.clone(), "i-dark".to_owned()].into_iter());
+    o.keep(Vec::new(), Vec::new());
+    let room = Room { cpus: 80_000, gpus: 0, memory: 90_000 };
+    let d = MachineDigest {
+        name: "i-free".into(),
+        kind: "k".into(),
+        zone: "z".into(),
+        spot: true,
+        standing: Standing::Known,
+        open: true,
+        notice: None,
+        free: room,
+        total: room,
+        by_priority: Vec::new(),
+        images: Vec::new(),
+        busy: 0,
+        idle: None,
+        silent: None,
+        tasks: Vec::new(),
+    };
+    (o, Teams::new(&s.teams), d)
+}
+
+/// Digests of both homes; machines named beside the free one are known to have no room.
+fn hear(o: &mut Owner, t: &Two, seq: u64, free: &MachineDigest, others: &[(&str, Standing)]) {
+    for from in 0..2 {
+        // The home has seen what it was last told, if it was told anything.
+        let rev_seen = if seq == 1 { 0 } else { o.wanted(from, &t.new).rev };
+        let none = Room::default();
+        let other = |&(name, standing): &(&str, Standing)| MachineDigest {
+            name: name.into(),
+            standing,
+            free: none,
+            open: false,
+            ..free.clone()
+        };
+        let all = others.iter().map(other).chain([free.clone()]);
+        let machines = all.filter(|d| t.new.home(&d.name) == Some(from)).collect();
+        let d = Digest { seq: (8 << 32) + seq, since: 0, rev_seen, machines };
+        o.digest(at(5.0), &t.new, from, d);
+    }
+}
+
+fn placed(o: &mut Owner, t: &Two, teams: &Teams, now: f64) -> Vec<u32> {
+    o.plan(at(now), at(now), &t.new, teams);
+    let mut all: Vec<Wanted> = (0..2).flat_map(|h| o.wanted(h, &t.new).list).collect();
+    all.retain(|w| w.want == Want::Run || w.want == Want::Hold);
+    let mut out: Vec<u32> = all.iter().map(|w| w.key.index).collect();
+    out.sort_unstable();
+    out.dedup();
+    out
+}
+
+fn start(t: &Two, index: u32, stopping: bool) -> HandedStart {
+    HandedStart {
+        index,
+        attempt: 77,
+        machine: t.machine.clone(),
+        zone: "z".into(),
+        stopping,
+        phase: Some(Phase::Running),
+    }
+}
+
+#[test]
+fn a_handed_job_starts_at_once_what_is_nowhere_and_waits_for_the_rest() {
+    let t = two();
+    let dark = [(t.machine.as_str(), Standing::Unconfirmed), ("i-dark", Standing::Unconfirmed)];
+    let (mut o, teams, free) = owner(&t, "batch", 4);
+    hear(&mut o, &t, 1, &free, &dark);
+    assert_eq!(placed(&mut o, &t, &teams, 5.0), Vec::<u32>::new(), "any of them may be on two machines");
+    let starts = vec![start(&t, 1, false), start(&t, 2, true)];
+    let job = |doubt| HandedJob { id: t.job.clone(), done: "3".into(), starts: starts.clone(), doubt };
+    assert_eq!(o.handed(at(5.1), vec![job(Some(9))], &[]), 0, "a set that is not there is no evidence");
+    assert_eq!(o.handed(at(5.1), vec![job(None)], &[]), 1);
+    assert_eq!(placed(&mut o, &t, &teams, 6.0), [0], "one is there, one being stopped, one completed");
+    assert_eq!(o.handed(at(6.1), vec![job(None)], &[]), 0, "twice changes nothing");
+    // Their machine speaks and has neither.
+    let known = [(t.machine.as_str(), Standing::Known), ("i-dark", Standing::Unconfirmed)];
+    hear(&mut o, &t, 2, &free, &known);
+    hear(&mut o, &t, 3, &free, &known);
+    assert_eq!(placed(&mut o, &t, &teams, 9.0).len(), 3, "0 as before, and both that were lost");
+}
+
+#[test]
+fn a_job_handed_on_in_doubt_waits_for_those_machines_only() {
+    let t = two();
+    let dark = [(t.machine.as_str(), Standing::Unconfirmed), ("i-dark", Standing::Unconfirmed)];
+    let (mut o, teams, free) = owner(&t, "batch", 2);
+    hear(&mut o, &t, 1, &free, &dark);
+    let job = HandedJob { id: t.job.clone(), done: String::new(), starts: Vec::new(), doubt: Some(0) };
+    // One that the old owner waited for was never on record, or is gone: it is not waited for.
+    o.handed(at(5.1), vec![job], &[vec![t.machine.clone(), "i-gone".into()]]);
+    assert!(placed(&mut o, &t, &teams, 6.0).is_empty());
+    let known = [(t.machine.as_str(), Standing::Known), ("i-dark", Standing::Unconfirmed)];
+    hear(&mut o, &t, 2, &free, &known);
+    assert_eq!(placed(&mut o, &t, &teams, 7.0), [0, 1]);
+    assert_eq!(o.unheard(), 1, "the other machine is as dark as it was");
+}
+
+/// A gang is one attempt: what is left of it is stopped, and the next waits until that is gone.
+#[test]
+fn a_handed_gang_that_is_not_whole_is_ended_before_it_is_tried_again() {
+    let t = two();
+    let dark = [(t.machine.as_str(), Standing::Unconfirmed), ("i-dark", Standing::Unconfirmed)];
+    let (mut o, teams, free) = owner(&t, "group", 2);
+    hear(&mut o, &t, 1, &free, &dark);
+    let starts = vec![start(&t, 1, false)];
+    let job = HandedJob { id: t.job.clone(), done: String::new(), starts, doubt: None };
+    o.handed(at(5.1), vec![job], &[]);
+    assert!(placed(&mut o, &t, &teams, 6.0).is_empty());
+    let stops: Vec<Want> = (0..2).flat_map(|h| o.wanted(h, &t.new).list).map(|w| w.want).collect();
+    assert_eq!(stops, [Want::Stop(Micros(0))]);
+    hear(&mut o, &t, 2, &free, &[(t.machine.as_str(), Standing::Known), ("i-dark", Standing::Unconfirmed)]);
+    o.plan(at(7.0), at(7.0), &t.new, &teams);
+    assert_eq!(placed(&mut o, &t, &teams, 8.0), [0, 1], "as a whole, at once: all of it is known");
+}
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -244,6 +244,9 @@
     /// Their ids in the order in which users thought of them.
     order: Vec<String>,
     starts: usize,
+    /// Parcels that were sent, and how likely it is that one, or the word that it came, is lost, doubled or late.
+    parcels: usize,
+    unruly: f64,
     /// A class whose starts the workers refuse, to show that the bar of half a class can fail.
     starved: Option<&'static str>,
     log: Vec<String>,
@@ -287,6 +290,8 @@
             jobs: BTreeMap::new(),
             order: Vec::new(),
             starts: 0,
+            parcels: 0,
+            unruly: 0.0,
             starved: None,
             log: Vec::new(),
         };
@@ -340,7 +345,7 @@
     }
 
     fn clock(&self, n: usize) -> Micros {
-        Micros(S + ((self.now - self.started[n]) as f64 * self.drift[n]) as u64)
+        Micros(3600 * S + ((self.now - self.started[n]) as f64 * self.drift[n]) as u64)
     }
 
     fn drive(&mut self, n: usize, event: Event) {
@@ -416,8 +421,17 @@
                 }
                 let bytes = frame.encode().expect("frames can be encoded");
                 let back = hazelsaddle::peer::Frame::decode(&bytes[4..]).expect("and read again");
-                if let Some(d) = self.travel(End::Node(n), End::Node(p)) {
-                    self.later(d, What::Node(p, 0, Event::Frame(Box::new(back))));
+                let parcel = matches!(frame.body, Message::HandOver { .. } | Message::Taken(_));
+                self.parcels += usize::from(matches!(frame.body, Message::HandOver { .. }));
+                let copies = match parcel && self.unruly > 0.0 && self.rng.random_bool(self.unruly) {
+                    true => self.rng.random_range(0..3),
+                    false => 1,
+                };
+                for _ in 0..copies {
+                    let late = if copies == 1 { 0 } else { self.rng.random_range(0..12 * S) };
+                    if let Some(d) = self.travel(End::Node(n), End::Node(p)) {
+                        self.later(d + late, What::Node(p, 0, Event::Frame(Box::new(back.clone()))));
+                    }
                 }
             }
             Effect::Store(id, StoreRequest::Watch(prefix, after, wait), _) => {
@@ -1376,6 +1390,85 @@
     );
 }
 
+/// Epochs a few seconds apart: controllers crash, stand still and are cut off one after the other while machines die,
+/// hang and come back, and what is handed over is lost, doubled and late.
+#[test]
+fn the_rules_hold_while_takeovers_follow_one_another() {
+    let mut parcels = 0;
+    for seed in seeds().map(|s| s + 7000) {
+        let mut w = World::new(seed, Shape { machines: 12, room: 10, ..SMALL });
+        w.unruly = 0.3;
+        let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            w.run(0, 20 * S);
+            while w.now < 200 * S {
+                let n = w.rng.random_range(0..3usize);
+                let long = w.rng.random_range(S..25 * S);
+                w.log.push(format!("{:.1}: {n}, {:.1}", w.now as f64 / 1e6, long as f64 / 1e6));
+                match w.rng.random_range(0..8) {
+                    0..4 => w.crash(n),
+                    4 => w.hung[n] = w.now + long,
+                    5 => w.cuts.push((End::Node(n), End::Store, w.now + long, seed % 2 == 0)),
+                    6 => w.cuts.push((End::Node(n), End::Workers, w.now + long, seed % 2 == 0)),
+                    _ => w.cuts.push((End::Node(n), End::Node((n + 1) % 3), w.now + long, seed % 2 == 0)),
+                }
+                let i = w.rng.random_range(0..w.workers.len());
+                match w.rng.random_range(0..3) {
+                    0 => w.workers[i].hung_until = w.now + long,
+                    1 if i % 3 == 0 => {
+                        w.workers[i].dead = true;
+                        w.workers[i].tasks.clear();
+                    }
+                    _ => {}
+                }
+                let until = w.now + w.rng.random_range(2 * S..12 * S);
+                w.run(0, until);
+            }
+            w.run(0, 520 * S);
+        }));
+        if let Err(e) = r {
+            eprintln!("seed {seed}, at {:.3} s: {:#?}", w.now as f64 / 1e6, w.log);
+            std::panic::resume_unwind(e);
+        }
+        assert!(w.underserved().is_empty(), "seed {seed}: {:?}", w.underserved());
+        let states = w.states();
+        assert!(w.finished().is_empty(), "seed {seed}: {:?} {:#?} {states:#?}", w.finished(), w.log);
+        parcels += w.parcels;
+    }
+    assert!(parcels > 500, "{parcels} parcels");
+}
+
+/// A machine dies and a second controller crashes half a lease later. Whoever owns the first one's jobs then must not
+/// begin to wait for that machine anew, and jobs that one owner living hands to the next wait for nothing.
+#[test]
+fn a_dead_machine_is_waited_for_once_however_many_epochs_pass() {
+    for seed in 7300..7306 {
+        let mut w =
+            World::new(seed, Shape { machines: 12, room: 16, jobs: 30, run: 60 * S, pause: 2 * S, ..SMALL });
+        w.run(0, 40 * S);
+        // The cloud's list takes it for well.
+        w.workers[0].hung_until = NEVER;
+        let first = w.now;
+        // What its home knows is lost with its home; any other controller's crash must not touch it.
+        let home = w.nodes[0].as_ref().and_then(|n| n.membership.home("i-000000")).expect("a home");
+        for _ in 0..2 {
+            w.crash((home + 1 + seed as usize % 2) % 3);
+            let until = w.now + 16 * S;
+            w.run(0, until);
+        }
+        // The lease of a store, in which the first is noticed, and that of the worker; half a lease ends what others
+        // may still answer. A clock that began again with the last epoch would run until 56 s.
+        let bound = first + 36 * S;
+        let until = bound.max(w.now);
+        w.run(0, until);
+        for n in 0..3 {
+            let now = w.clock(n);
+            let Some(node) = w.nodes[n].as_mut() else { continue };
+            let status = node.status(now);
+            assert_eq!(status["takeover"]["jobs_in_doubt"], 0, "seed {seed}, {n}: {status:#}");
+        }
+    }
+}
+
 /// Few steps, since each is checked, but hundreds of machines and thousands of tasks.
 #[test]
 fn the_rules_hold_at_the_grown_size() {
