Starts that their owner carries out itself are told to witnesses before they go out

Need: a controller that crashes takes with it what it had started as owner on machines whose home it was; its successor (mostly itself, eight seconds later) had to ask every such machine, and waited 28 s for dead ones. Change: the paper's acknowledgements (4.3), for those starts only: at least one other member holds each before it goes out. When an epoch finds a member gone, the others tell the new owners what they held; once all have spoken, jobs wait for none of its machines. Who reaches no witness for 2 s puts on record (unwitnessed/NAME) that it goes on without, and nobody's word about it counts that epoch.

--- /dev/null
+++ b/crates/takeover/src/witness.rs
@@ -0,0 +1,269 @@
+//! Witnesses: what one controller knows and would take with it, told to others before it has effect.
+//!
+//! The paper's leader awaits acknowledgements of its peers (4.3). Here a controller keeps a set of items (starts that
+//! it alone decides and alone carries out, and jobs for which the set is complete) and tells the others of each change.
+//! An item is [`witnessed`](Told::witnessed) once at least one of them has said that it holds it, so all of them together
+//! hold every witnessed item, whatever was lost on the way: a message names all that changed since the one that its
+//! receiver last said it has.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What goes to one witness: all that changed since `since`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes<K> {
+    /// Grows with each message.
+    pub rev: u64,
+    /// The message on which this one builds; 0: this is the whole set.
+    pub since: u64,
+    /// Items that are new.
+    pub added: Vec<K>,
+    /// Items that are no more.
+    pub dropped: Vec<K>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer<K> {
+    /// The message that it last said it has; 0: none.
+    has: u64,
+    /// Changes that it has not said it has, with the first message that named them; None before that.
+    open: BTreeMap<K, Option<u64>>,
+}
+
+/// The teller's side.
+#[derive(Clone, Debug)]
+pub struct Told<K> {
+    rev: u64,
+    live: BTreeSet<K>,
+    peers: BTreeMap<usize, Peer<K>>,
+}
+
+impl<K> Default for Told<K> {
+    fn default() -> Self {
+        Told { rev: 0, live: BTreeSet::new(), peers: BTreeMap::new() }
+    }
+}
+
+impl<K: Clone + Ord> Told<K> {
+    /// Begins anew with other witnesses, who hold nothing. Numbers go on.
+    pub fn begin(&mut self, peers: impl Iterator<Item = usize>) {
+        self.live.clear();
+        self.peers = peers.map(|p| (p, Peer { has: 0, open: BTreeMap::new() })).collect();
+    }
+
+    /// An item is there, or is no more.
+    pub fn set(&mut self, item: K, there: bool) {
+        let changed = if there { self.live.insert(item.clone()) } else { self.live.remove(&item) };
+        if changed {
+            for p in self.peers.values_mut() {
+                p.open.insert(item.clone(), None);
+            }
+        }
+    }
+
+    /// Whether `peer` is to hear something that it was never told.
+    #[must_use]
+    pub fn has_news(&self, peer: usize) -> bool {
+        self.peers
+            .get(&peer)
+            .is_some_and(|p| p.open.values().any(Option::is_none) || (p.has == 0 && self.rev == 0))
+    }
+
+    /// Whether `peer` has yet to say that it has all that it was told.
+    #[must_use]
+    pub fn waits(&self, peer: usize) -> bool {
+        self.peers.get(&peer).is_some_and(|p| p.has == 0 || !p.open.is_empty())
+    }
+
+    /// What to tell a witness; None if it is none.
+    #[must_use]
+    pub fn tell(&mut self, peer: usize) -> Option<Changes<K>> {
+        let p = self.peers.get_mut(&peer)?;
+        self.rev += 1;
+        let rev = self.rev;
+        for named in p.open.values_mut() {
+            named.get_or_insert(rev);
+        }
+        let (added, dropped) = match p.has {
+            0 => (self.live.iter().cloned().collect(), Vec::new()),
+            _ => p.open.keys().cloned().partition(|k| self.live.contains(k)),
+        };
+        Some(Changes { rev, since: p.has, added, dropped })
+    }
+
+    /// A witness has this message. Returns the items that are witnessed now and were not.
+    pub fn noted(&mut self, peer: usize, rev: u64) -> Vec<K> {
+        let Some(p) = self.peers.get(&peer) else { return Vec::new() };
+        if rev <= p.has || rev > self.rev {
+            return Vec::new();
+        }
+        let first = p.has == 0;
+        let known: Vec<K> =
+            p.open.iter().filter(|(_, n)| n.is_some_and(|n| n <= rev)).map(|(k, _)| k.clone()).collect();
+        let fresh: Vec<K> = match first {
+            true => self
+                .live
+                .iter()
+                .filter(|k| p.open.get(*k).is_none_or(|n| n.is_some_and(|n| n <= rev)))
+                .collect(),
+            false => known.iter().filter(|k| self.live.contains(*k)).collect::<Vec<&K>>(),
+        }
+        .into_iter()
+        .filter(|k| !self.witnessed(k))
+        .cloned()
+        .collect();
+        if let Some(p) = self.peers.get_mut(&peer) {
+            p.has = rev;
+            for k in known {
+                p.open.remove(&k);
+            }
+        }
+        fresh
+    }
+
+    /// Whether at least one witness holds this item.
+    #[must_use]
+    pub fn witnessed(&self, item: &K) -> bool {
+        self.live.contains(item) && self.peers.values().any(|p| p.has > 0 && !p.open.contains_key(item))
+    }
+
+    /// How many items there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty()
+    }
+}
+
+/// The witness's side: what one teller has told.
+#[derive(Clone, Debug)]
+pub struct Heard<K> {
+    rev: u64,
+    items: BTreeSet<K>,
+}
+
+impl<K> Default for Heard<K> {
+    fn default() -> Self {
+        Heard { rev: 0, items: BTreeSet::new() }
+    }
+}
+
+impl<K: Clone + Ord> Heard<K> {
+    /// Takes a message. Returns the number to say in answer; None for one that is out of date or builds on something that
+    /// is not held.
+    pub fn take(&mut self, c: Changes<K>) -> Option<u64> {
+        if c.rev <= self.rev || c.since > self.rev {
+            return None;
+        }
+        if c.since == 0 {
+            self.items.clear();
+        }
+        for k in &c.dropped {
+            self.items.remove(k);
+        }
+        self.items.extend(c.added);
+        self.rev = c.rev;
+        Some(c.rev)
+    }
+
+    /// What is held.
+    pub fn items(&self) -> impl Iterator<Item = &K> {
+        self.items.iter()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+    /// Messages and answers are lost, doubled, late and overtaken, items come and go and come again: whatever is witnessed
+    /// is held by some witness at that moment and from then on for as long as it is there, and nothing that a witness
+    /// holds after a quiet while is no more.
+    #[test]
+    fn what_is_witnessed_is_held_by_somebody_until_it_is_gone() {
+        for seed in 0..300 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut told: Told<u32> = Told::default();
+            told.begin([1, 2].into_iter());
+            let mut heard = [Heard::default(), Heard::default()];
+            let mut road: Vec<(usize, Changes<u32>)> = Vec::new();
+            let mut back: Vec<(usize, u64)> = Vec::new();
+            let mut there = BTreeSet::new();
+            let mut witnessed_ever = 0;
+            for step in 0..500 {
+                let calm = step > 460;
+                match rng.random_range(0..7) {
+                    0 | 1 if !calm => {
+                        let (k, on) = (rng.random_range(0..25u32), rng.random_bool(0.6));
+                        told.set(k, on);
+                        if on {
+                            there.insert(k)
+                        } else {
+                            there.remove(&k)
+                        };
+                    }
+                    2 | 3 => {
+                        let p = rng.random_range(1..3);
+                        if told.has_news(p) || told.waits(p) {
+                            road.push((p, told.tell(p).expect("a witness")));
+                        }
+                    }
+                    4 | 5 if !road.is_empty() => {
+                        let i = if calm { road.len() - 1 } else { rng.random_range(0..road.len()) };
+                        let again = !calm && rng.random_bool(0.2);
+                        let (p, c) = if again { road[i].clone() } else { road.swap_remove(i) };
+                        if calm || rng.random_bool(0.8) {
+                            back.extend(heard[p - 1].take(c).map(|rev| (p, rev)));
+                        }
+                    }
+                    _ if !back.is_empty() => {
+                        let (p, rev) = back.swap_remove(rng.random_range(0..back.len()));
+                        if calm || rng.random_bool(0.8) {
+                            for k in told.noted(p, rev) {
+                                assert!(told.witnessed(&k), "seed {seed}");
+                                witnessed_ever += 1;
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+                for k in &there {
+                    let held = heard.iter().any(|h| h.items().any(|x| x == k));
+                    assert!(!told.witnessed(k) || held, "seed {seed}, step {step}: {k} is held by nobody");
+                }
+            }
+            assert!(witnessed_ever > 10, "seed {seed}");
+            for p in [1, 2] {
+                let c = told.tell(p).expect("a witness");
+                let rev = heard[p - 1].take(c).expect("it builds on what is held");
+                told.noted(p, rev);
+                assert!(heard[p - 1].items().eq(there.iter()) && !told.waits(p), "seed {seed}");
+            }
+        }
+    }
+
+    #[test]
+    fn nothing_is_witnessed_by_nobody() {
+        let mut told: Told<u32> = Told::default();
+        told.begin(std::iter::empty());
+        told.set(1, true);
+        assert!(!told.witnessed(&1));
+        told.begin(std::iter::once(1));
+        told.set(1, true);
+        let rev = told.tell(1).expect("a witness").rev;
+        assert!(!told.witnessed(&1), "not before it has said so");
+        assert_eq!(told.noted(1, rev), [1]);
+        assert!(told.witnessed(&1));
+        told.begin(std::iter::once(1));
+        told.set(1, true);
+        assert!(
+            told.noted(1, rev).is_empty() && !told.witnessed(&1),
+            "a word on what was said before means nothing"
+        );
+    }
+}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -8,6 +8,7 @@
 mod plan;
 mod records;
 mod sync;
+mod vouch;
 
 use self::blame::Blame;
 use self::follow::Waiting;
@@ -156,6 +157,7 @@
     of_epoch: Option<Doubt>,
     /// Some set has become empty: jobs may be settled.
     ends_doubt: bool,
+    vouching: vouch::Vouching,
     revs: Vec<u64>,
     /// Starts of which the homes are to hear.
     touched: BTreeSet<Key>,
@@ -219,6 +221,7 @@
             doubts: Doubts::default(),
             of_epoch: None,
             ends_doubt: false,
+            vouching: vouch::Vouching::default(),
             revs: vec![0; n],
             touched: BTreeSet::new(),
             unacked: vec![BTreeMap::new(); n],
@@ -308,6 +311,7 @@
         }
         self.unheard.clear();
         self.of_epoch = None;
+        self.vouching = vouch::Vouching::default();
         let used = self.jobs.values().filter_map(|j| match j.evidence {
             Evidence::Waits(d) => Some(d),
             _ => None,
--- a/src/jobs/handover.rs
+++ b/src/jobs/handover.rs
@@ -100,7 +100,7 @@
 
     /// A start that may be on a machine: it is kept if nothing is known that speaks against it, else stopped. Until its
     /// machine has spoken it holds its room and its place, and its task is not started elsewhere.
-    fn take_start(&mut self, now: Micros, id: &str, s: HandedStart, gang: bool) {
+    pub(super) fn take_start(&mut self, now: Micros, id: &str, s: HandedStart, gang: bool) {
         let key = (id.to_owned(), s.index, s.attempt);
         let Some(j) = self.jobs.get_mut(id) else { return };
         if self.left_on.get(&s.machine).is_some_and(|l| l.contains_key(&key)) {
--- a/src/jobs/sync.rs
+++ b/src/jobs/sync.rs
@@ -65,6 +65,9 @@
     pub fn has_news(&mut self, home: usize, m: &Membership) -> bool {
         for key in std::mem::take(&mut self.touched) {
             if let Some(h) = m.home(&key.0) {
+                if h == self.me {
+                    self.vouching.touched.insert(key.clone());
+                }
                 self.unacked[h].insert(key, UNSENT);
                 self.dirty[h] = true;
             }
--- /dev/null
+++ b/src/jobs/vouch.rs
@@ -0,0 +1,118 @@
+//! Jobs of an owner on machines of its own: what only this process knows, told to witnesses before it has effect, and what
+//! a new owner makes of their word.
+//!
+//! A start that another home carries out is known to two. One that its owner carries out itself would be lost with it, and
+//! its successor would have to ask every machine. See `docs/takeovers.md`.
+
+use super::*;
+use crate::peer::{HandedStart, Vouched};
+use hazelsaddle_base::ring::Ring;
+
+/// What the witnesses are told.
+#[derive(Default)]
+pub(super) struct Vouching {
+    /// Starts on machines of our own that may have changed.
+    pub(super) touched: BTreeSet<Key>,
+    /// Those that were last told of, with their zones, and the jobs that we last vouched for.
+    starts: BTreeMap<Key, String>,
+    jobs: BTreeSet<String>,
+}
+
+impl Owner {
+    /// What has changed since this was last asked, of starts on our own machines that may be alive and of jobs whose
+    /// starts are all known: each item, and whether it is there.
+    pub fn vouch_changes(&mut self) -> Vec<(Vouched, bool)> {
+        let mut out = Vec::new();
+        for key in std::mem::take(&mut self.vouching.touched) {
+            let (machine, k) = &key;
+            let placed = self.jobs.get(&k.job).and_then(|j| j.placed.get(&k.index));
+            let placed = placed.filter(|p| p.attempt == k.attempt && p.machine == *machine);
+            let left = (k.index, machine.clone(), k.attempt);
+            let open = self.open_left.get(&k.job).and_then(|o| o.get(&left));
+            let zone = placed.map(|p| &p.zone).or(open.filter(|(alive, _)| *alive).map(|(_, zone)| zone));
+            let item = |zone: &String| Vouched::Start {
+                key: k.clone(),
+                machine: machine.clone(),
+                zone: zone.clone(),
+            };
+            match (zone, self.vouching.starts.get(&key)) {
+                (Some(zone), None) => {
+                    out.push((item(zone), true));
+                    self.vouching.starts.insert(key.clone(), zone.clone());
+                }
+                (None, Some(zone)) => {
+                    out.push((item(zone), false));
+                    self.vouching.starts.remove(&key);
+                }
+                _ => {}
+            }
+        }
+        let settled = |id: &String| self.jobs.get(id).is_some_and(Job::settled);
+        let gone: Vec<String> = self.vouching.jobs.iter().filter(|id| !settled(id)).cloned().collect();
+        for id in gone {
+            self.vouching.jobs.remove(&id);
+            out.push((Vouched::Job(id), false));
+        }
+        for (id, _) in self.jobs.iter().filter(|(_, j)| j.settled()) {
+            if !self.vouching.jobs.contains(id) {
+                self.vouching.jobs.insert(id.clone());
+                out.push((Vouched::Job(id.clone()), true));
+            }
+        }
+        out
+    }
+
+    /// The item for a start on one of our own machines, if it was told of.
+    pub fn vouched(&self, machine: &str, key: &crate::peer::TaskKey) -> Option<Vouched> {
+        let key = (machine.to_owned(), key.clone());
+        let zone = self.vouching.starts.get(&key)?.clone();
+        Some(Vouched::Start { key: key.1, machine: key.0, zone })
+    }
+
+    /// All witnesses of a controller that is there no more have spoken: the jobs that it vouched for, of those that were
+    /// its by that epoch's `ring`, need not wait for the machines whose home it was. Returns how many jobs that helped.
+    pub fn witnessed(&mut self, now: Micros, of: usize, ring: &Ring, items: &BTreeSet<Vouched>) -> usize {
+        let mut starts: BTreeMap<&str, Vec<HandedStart>> = BTreeMap::new();
+        for item in items {
+            if let Vouched::Start { key, machine, zone } = item {
+                starts.entry(&key.job).or_default().push(HandedStart {
+                    index: key.index,
+                    attempt: key.attempt,
+                    machine: machine.clone(),
+                    zone: zone.clone(),
+                    stopping: false,
+                    phase: None,
+                });
+            }
+        }
+        let mut narrowed: BTreeMap<Doubt, Evidence> = BTreeMap::new();
+        let mut helped = 0;
+        let theirs: Vec<String> = items
+            .iter()
+            .filter_map(|i| match i {
+                Vouched::Job(id) if ring.owner_of("job/", id) == Some(of) => Some(id.clone()),
+                _ => None,
+            })
+            .collect();
+        for id in theirs {
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            let Evidence::Waits(d) = j.evidence else { continue };
+            let doubts = &mut self.doubts;
+            let evidence = *narrowed.entry(d).or_insert_with(|| {
+                let others = doubts.machines(d).filter(|m| ring.owner_of("machine/", m) != Some(of));
+                let others: BTreeSet<String> = others.cloned().collect();
+                doubts.open(others).map_or(Evidence::Complete, Evidence::Waits)
+            });
+            j.evidence = evidence;
+            helped += 1;
+            let (tasks, gang) = (j.spec.tasks, j.spec.kind == Kind::Gang);
+            for s in starts.remove(id.as_str()).unwrap_or_default() {
+                if s.index < tasks {
+                    self.take_start(now, &id, s, gang);
+                }
+            }
+        }
+        self.replan = true;
+        helped
+    }
+}
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -441,8 +441,14 @@
         Verdict::Taken
     }
 
-    /// What to answer a machine's latest report with. A start in it counts as out from then on.
-    pub fn orders(&mut self, m: &Membership, name: &str) -> Option<Orders> {
+    /// What to answer a machine's latest report with. A start in it counts as out from then on. One that `may_go`
+    /// holds back stays queued.
+    pub fn orders(
+        &mut self,
+        m: &Membership,
+        name: &str,
+        may_go: impl Fn(&TaskKey) -> bool,
+    ) -> Option<Orders> {
         let x = self.machines.get_mut(name)?;
         let mut commands = Vec::new();
         for (k, e) in &x.entries {
@@ -461,7 +467,7 @@
             let mut room = STARTS_AN_ANSWER;
             let last = x.last;
             for (k, e) in &mut x.entries {
-                if room > 0 && e.phase == Phase::Queued && e.want == Some(Want::Run) {
+                if room > 0 && e.phase == Phase::Queued && e.want == Some(Want::Run) && may_go(k) {
                     room -= 1;
                     // No news for the owners: queued and in doubt are the same to them.
                     e.phase = Phase::InDoubt;
@@ -476,14 +482,20 @@
     /// Whether the answer to this machine's report should wait a little: it has room, there is
     /// nothing to tell it, and a start that is placed meanwhile goes out at once rather than with
     /// the next report.
-    pub fn may_wait(&self, now: Micros, name: &str, capacity: impl Fn(&str) -> Option<Room>) -> bool {
+    pub fn may_wait(
+        &self,
+        now: Micros,
+        name: &str,
+        capacity: impl Fn(&str) -> Option<Room>,
+        may_go: impl Fn(&TaskKey) -> bool,
+    ) -> bool {
         self.machines.get(name).is_some_and(|x| {
             x.standing == Standing::Known
                 && x.record == Record::Yes
                 && x.open(now, self.patience)
                 && capacity(&x.kind).and_then(|t| x.free(t)).is_some_and(|f| f.cpus > 0 && f.memory > 0)
-                && !x.entries.values().any(|e| match e.want {
-                    Some(Want::Run) => e.phase == Phase::Queued,
+                && !x.entries.iter().any(|(k, e)| match e.want {
+                    Some(Want::Run) => e.phase == Phase::Queued && may_go(k),
                     Some(Want::Stop(_)) => e.alive(),
                     Some(Want::Forget) => !e.alive(),
                     _ => false,
@@ -721,6 +733,16 @@
         }
     }
 
+    /// A start on this machine need not be held back any more: an answer to it may go out.
+    pub fn freshen(&mut self, name: &str) {
+        self.changes.fresh.insert(name.to_owned());
+    }
+
+    /// The same for all machines.
+    pub fn freshen_all(&mut self) {
+        self.changes.fresh.extend(self.machines.keys().cloned());
+    }
+
     /// Number of the latest change.
     pub fn seq(&self) -> u64 {
         self.changes.seq
@@ -891,7 +913,7 @@
         Wishes { rev, since: 0, list, dropped: Vec::new() }
     }
     fn starts(home: &mut Home, m: &Membership) -> usize {
-        let orders = home.orders(m, "i-1").expect("known");
+        let orders = home.orders(m, "i-1", |_| true).expect("known");
         orders.commands.iter().filter(|c| c.op == "run").count()
     }
     fn ready() -> (Membership, Home) {
@@ -962,7 +984,7 @@
             home.wanted(Micros(10), 0, &whole(1, vec![stop, keep]), &m, |_| Some(ROOM));
             let running = [("wk-1/0", 1, "running"), ("wk-1/1", 1, "running")];
             home.report(Micros(20), &m, &report(1, 6, &running));
-            let orders = home.orders(&m, "i-1").expect("known");
+            let orders = home.orders(&m, "i-1", |_| true).expect("known");
             let told: Vec<_> = orders.commands.iter().map(|c| (c.op, c.task.as_str())).collect();
             assert_eq!(told, [("kill", "wk-1/0")]);
             home.report(Micros(30), &m, &report(2, 7, &running));
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,10 +8,12 @@
 mod links;
 mod records;
 mod users;
+mod witness;
 mod workers;
 
 use self::follow::Follow;
 use self::handover::Handover;
+use self::witness::Witness;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
 use crate::machines::{Home, Report, Verdict};
@@ -98,6 +100,8 @@
     LoadJobs(u64),
     LoadMachines(u64),
     LoadTeams(u64),
+    LoadUnwitnessed(u64),
+    Unwitnessed(u64),
     Accept(String, u64),
     Record(String, RecordWrite),
     Verify(String),
@@ -123,6 +127,7 @@
     Jobs,
     Machines,
     Teams,
+    Unwitnessed,
     Done,
 }
 
@@ -189,6 +194,7 @@
     accepting: BTreeMap<String, Accepting>,
     follow: Follow,
     handover: Handover,
+    witness: Witness,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
     withdrawing: BTreeMap<String, Vec<Origin>>,
     asked: BTreeMap<u64, Asked>,
@@ -247,6 +253,7 @@
             accepting: BTreeMap::new(),
             follow: Follow::default(),
             handover: Handover::new(n),
+            witness: Witness::new(n),
             lookups: BTreeMap::new(),
             withdrawing: BTreeMap::new(),
             asked: BTreeMap::new(),
@@ -383,6 +390,7 @@
         }
         self.follow_loop(now, out);
         self.membership.note_stopped(now);
+        self.vouch(now, out);
         self.say(now, out);
         self.say_parcels(now, out);
         self.held_reports(now, out);
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -186,6 +186,7 @@
         let follows = self.membership.adopt(now, record, mark);
         tracing::info!(epoch = record.epoch, members = ?record.members.iter().map(|(n, _)| n).collect::<Vec<_>>(), follows, "epoch adopted");
         self.hand_over(now, follows);
+        self.testify(now, record, follows);
         self.home.adopt(now, &self.membership, follows, |job| ring_before.owner(&format!("job/{job}")));
         self.owner.adopt(&self.membership, follows);
         // All records are read again, by everybody.
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -1,7 +1,7 @@
 //! Handing over to the next owner and home, and taking from the last.
 
 use super::*;
-use crate::peer::{HandedJob, HandedMachine, Parcel};
+use crate::peer::{HandedJob, HandedMachine, Parcel, Testimony};
 use crate::ring::Membership;
 use hazelsaddle_takeover::parcels::{Inbox, Outbox};
 
@@ -37,6 +37,10 @@
             taken_machines: 0,
         }
     }
+    /// Packs what was heard of one that is there no more, for a job's new owner.
+    pub(super) fn pack_testimony(&mut self, now: Micros, to: usize, t: Testimony) {
+        self.out.pack(now, to, Parcel { testimony: vec![t], ..Parcel::default() });
+    }
     pub(super) fn acknowledged(&mut self, from: usize, numbers: &[u64]) {
         self.out.acknowledged(from, numbers);
     }
@@ -102,7 +106,7 @@
         for (to, Parcel { jobs, doubts, .. }) in jobs {
             for jobs in pieces(jobs, |j: &HandedJob| j.starts.len()) {
                 let doubts = doubts.clone();
-                self.handover.out.pack(now, to, Parcel { jobs, doubts, machines: Vec::new() });
+                self.handover.out.pack(now, to, Parcel { jobs, doubts, ..Parcel::default() });
             }
         }
     }
@@ -133,6 +137,7 @@
                 seconds = now.since(since).secs(),
                 handed_jobs = h.taken_jobs,
                 handed_machines = h.taken_machines,
+                witnessed_jobs = self.witness.taken(),
                 unheard = self.owner.unheard(),
                 "taken over: every job's starts are known"
             );
@@ -163,6 +168,7 @@
         for (_, (jobs, doubts)) in self.handover.jobs.unpack() {
             self.handover.taken_jobs += self.owner.handed(now, jobs, &doubts);
         }
+        self.hear_witnesses(now);
     }
 
     /// How this epoch's takeover stands, for operators.
@@ -174,6 +180,8 @@
             "jobs_in_doubt": self.owner.in_doubt(),
             "jobs_handed_to_us": h.taken_jobs,
             "machines_handed_to_us": h.taken_machines,
+            "jobs_witnessed": self.witness.taken(),
+            "starts_await_a_witness": self.witness.holds_back(),
             "parcels_not_acknowledged": h.out.len(),
             "waits_for_machines": waits,
         })
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -1,6 +1,7 @@
 //! Frames from and to peers.
 
 use super::*;
+use hazelsaddle_takeover::witness::Changes;
 
 impl Node {
     /// The newest epoch that others may take it from us that we know. One that has stepped aside says
@@ -80,6 +81,13 @@
             }
             Message::Needed(list) if same => self.owner.urged_by(from, list),
             Message::HandOver { number, parcel } if same => self.parcel(now, from, f.boot, number, parcel),
+            Message::Vouch { rev, since, added, dropped } if same && from != self.settings.me => {
+                let c = Changes { rev, since, added, dropped };
+                if let Some(rev) = self.witness.heard(from, f.boot, c) {
+                    out.push(Effect::Send(from, self.envelope(now, from, Message::Noted(rev))));
+                }
+            }
+            Message::Noted(rev) if same => self.noted(now, from, rev),
             Message::Taken(numbers) if same => self.handover.acknowledged(from, &numbers),
             Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
             Message::Answer { id, reply } => {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -36,7 +36,8 @@
         let (purpose, prefix) = match self.load {
             Load::Jobs => (Purpose::LoadJobs(e), "job/"),
             Load::Machines => (Purpose::LoadMachines(e), roll::PREFIX),
-            _ => (Purpose::LoadTeams(e), "team/"),
+            Load::Teams => (Purpose::LoadTeams(e), "team/"),
+            _ => (Purpose::LoadUnwitnessed(e), witness::PREFIX),
         };
         let r = StoreRequest::List(prefix.into(), self.load_after.clone());
         self.ask_store(purpose, r, out);
@@ -64,11 +65,12 @@
                         self.machines_on_record.push(name);
                     }
                 }
-                _ => {
+                Load::Teams => {
                     if let Some(team) = row.key.strip_prefix("team/") {
                         self.teams.take(team, Some((&row.value, row.mark)));
                     }
                 }
+                _ => self.unwitnessed_on_record(&row),
             }
         }
         if more {
@@ -78,6 +80,7 @@
         self.load = match part {
             Load::Jobs => Load::Machines,
             Load::Machines => Load::Teams,
+            Load::Teams => Load::Unwitnessed,
             _ => Load::Done,
         };
         if self.load == Load::Done {
@@ -131,7 +134,10 @@
             | Purpose::Renew(_) => {
                 self.ring_answer(now, p, a, out);
             }
-            Purpose::LoadJobs(e) | Purpose::LoadMachines(e) | Purpose::LoadTeams(e) => {
+            Purpose::LoadJobs(e)
+            | Purpose::LoadMachines(e)
+            | Purpose::LoadTeams(e)
+            | Purpose::LoadUnwitnessed(e) => {
                 if e != self.membership.epoch {
                     return;
                 }
@@ -139,13 +145,15 @@
                 let part = match p {
                     Purpose::LoadJobs(_) => Load::Jobs,
                     Purpose::LoadMachines(_) => Load::Machines,
-                    _ => Load::Teams,
+                    Purpose::LoadTeams(_) => Load::Teams,
+                    _ => Load::Unwitnessed,
                 };
                 match a {
                     StoreAnswer::Page(rows, more) => self.loaded_page(now, part, rows, more),
                     _ => self.load_retry = now + Micros::from_millis(300),
                 }
             }
+            Purpose::Unwitnessed(e) => self.unwitnessed(now, e, matches!(a, StoreAnswer::Committed(_))),
             Purpose::NoteForms => self.forms_noted(matches!(a, StoreAnswer::Committed(_))),
             Purpose::Revision | Purpose::Watch => self.watched(now, a),
             Purpose::ReadEnd(id) => self.prerequisite_read(now, &id, a),
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -1,6 +1,7 @@
 //! Workers' reports and the answers that wait a little.
 
 use super::*;
+use crate::peer::TaskKey;
 
 impl Node {
     pub(super) fn report(
@@ -26,8 +27,8 @@
                 if let Some(old) = self.held.remove(&r.machine) {
                     out.push(Effect::Reply(old, Reply::later("out of date")));
                 }
-                let fleet = &self.fleet;
-                if self.home.may_wait(now, &r.machine, |k| fleet.room(k)) {
+                let (fleet, w, m, o) = (&self.fleet, &self.witness, &self.membership, &self.owner);
+                if self.home.may_wait(now, &r.machine, |k| fleet.room(k), |k| w.may_go(m, o, k, &r.machine)) {
                     self.held.insert(r.machine.clone(), ticket);
                     self.held_order.push_back((now, r.machine.clone(), ticket));
                     return None;
@@ -56,7 +57,8 @@
     }
 
     pub(super) fn orders(&mut self, machine: &str) -> Reply {
-        match self.home.orders(&self.membership, machine) {
+        let (w, m, o) = (&self.witness, &self.membership, &self.owner);
+        match self.home.orders(m, machine, |k| w.may_go(m, o, k, machine)) {
             Some(o) => {
                 Reply { status: 200, body: serde_json::to_string(&o).unwrap_or_default(), retry_after: None }
             }
@@ -79,9 +81,10 @@
             }
             self.held_order.pop_front();
         }
-        let fleet = &self.fleet;
+        let (fleet, w, m, o) = (&self.fleet, &self.witness, &self.membership, &self.owner);
         for name in self.home.fresh() {
-            if self.held.contains_key(&name) && !self.home.may_wait(now, &name, |k| fleet.room(k)) {
+            let go = |k: &TaskKey| w.may_go(m, o, k, &name);
+            if self.held.contains_key(&name) && !self.home.may_wait(now, &name, |k| fleet.room(k), go) {
                 due.push(name);
             }
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -265,6 +265,49 @@
     },
     /// From form 3 on: the sender has these parcels of the receiver's.
     Taken(Vec<u64>),
+    /// From form 3 on, to a witness: what the sender alone decides and alone carries out.
+    Vouch {
+        /// Grows with every such message.
+        rev: u64,
+        /// The receiver's state on which the change builds; 0: this is the whole state.
+        since: u64,
+        /// Items that are new.
+        added: Vec<Vouched>,
+        /// Items that are no more.
+        dropped: Vec<Vouched>,
+    },
+    /// From form 3 on: the sender holds what that message of the receiver's said.
+    Noted(u64),
+}
+
+/// What would be lost with a controller that owns a job and is the home of the machine that runs it.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[rkyv(derive(Debug))]
+pub enum Vouched {
+    /// Every start of this job that may be alive on the sender's own machines is among the items.
+    Job(String),
+    /// A start that may be on a machine.
+    Start {
+        /// Which start.
+        key: TaskKey,
+        /// The machine.
+        machine: String,
+        /// Its zone.
+        zone: String,
+    },
+}
+
+/// What a controller that was a member of the epoch before heard of another that is there no more.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Testimony {
+    /// The one that is there no more.
+    pub of: u32,
+    /// The epoch.
+    pub epoch: u64,
+    /// Its members. Only together do they hold all that was witnessed.
+    pub members: Vec<u32>,
+    /// What was heard of jobs that are the receiver's now.
+    pub items: Vec<Vouched>,
 }
 
 /// Jobs and machines handed over. The sender commands none of them any more.
@@ -276,6 +319,8 @@
     pub doubts: Vec<Vec<String>>,
     /// Machines, for their new home.
     pub machines: Vec<HandedMachine>,
+    /// What others had vouched for.
+    pub testimony: Vec<Testimony>,
 }
 
 /// A job as its owner of the epoch before knew it.
--- a/tests/compat.rs
+++ b/tests/compat.rs
@@ -211,9 +211,23 @@
         images: vec![7],
         tasks: vec![task],
     };
+    let key = TaskKey { job: "wk-000412".into(), index: 4, attempt: 9 };
+    let items = vec![
+        Vouched::Job("wk-000412".into()),
+        Vouched::Start { key, machine: "i-000231".into(), zone: "buda-a".into() },
+    ];
+    let testimony = Testimony { of: 2, epoch: 6, members: vec![0, 1, 2], items: items.clone() };
     let job = HandedJob { id: "wk-000412".into(), done: "0-2".into(), starts: vec![start], doubt: Some(0) };
-    let parcel = Parcel { jobs: vec![job], doubts: vec![vec!["i-000007".into()]], machines: vec![machine] };
-    for body in [Message::HandOver { number: 4, parcel }, Message::Taken(vec![4, 5])] {
+    let parcel = Parcel {
+        jobs: vec![job],
+        doubts: vec![vec!["i-000007".into()]],
+        machines: vec![machine],
+        testimony: vec![testimony],
+    };
+    let vouch = Message::Vouch { rev: 5, since: 4, added: items.clone(), dropped: items };
+    for body in
+        [Message::HandOver { number: 4, parcel }, Message::Taken(vec![4, 5]), vouch, Message::Noted(5)]
+    {
         let f = frame(body);
         assert_eq!(Frame::decode(&f.encode().expect("encoded")[4..]), Some(f));
     }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -102,7 +102,7 @@
     assert_eq!(old.report(at(99.0), &t.before, &report(t, 1, 7, &[])), Verdict::Taken);
     old.on_record(&t.machine);
     old.wanted(at(99.1), 0, &whole(1, vec![wanted(t, 5, Want::Run)]), &t.before, |_| Some(ROOM));
-    assert_eq!(old.orders(&t.before, &t.machine).expect("known").commands.len(), 1);
+    assert_eq!(old.orders(&t.before, &t.machine, |_| true).expect("known").commands.len(), 1);
     let mut new = Home::new(&settings(1));
     new.adopt(at(1001.0), &t.new, false, |_| None);
     (old, new)
@@ -124,7 +124,7 @@
     assert!(!new.handed(at(1005.1), &t.new, machine.clone()), "twice changes nothing");
     // No room beside the start in doubt, no second start of its task.
     new.wanted(at(1005.2), 1, &whole(1, vec![wanted(&t, 6, Want::Run)]), &t.new, |_| Some(ROOM));
-    assert!(new.orders(&t.new, &t.machine).expect("known").commands.is_empty());
+    assert!(new.orders(&t.new, &t.machine, |_| true).expect("known").commands.is_empty());
     // The start never arrived: the next report says so.
     assert_eq!(new.report(at(1006.0), &t.new, &report(&t, 2, 7, &[])), Verdict::Taken);
     assert_eq!(digest(&new, at(1006.0), &t).free.cpus, 4000);
@@ -157,7 +157,7 @@
     new.wanted(at(1004.5), 1, &whole(1, vec![stop]), &t.new, |_| Some(ROOM));
     let machine = old.hand_over(at(100.0), &t.next).remove(&1).expect("it moves").remove(0);
     new.handed(at(1005.0), &t.new, machine);
-    let told = new.orders(&t.new, &t.machine).expect("known").commands;
+    let told = new.orders(&t.new, &t.machine, |_| true).expect("known").commands;
     assert_eq!(told.iter().map(|c| c.op).collect::<Vec<_>>(), ["kill"]);
 }
 
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -406,7 +406,11 @@
             Effect::Send(p, frame) => {
                 if self.limited[p] {
                     let new = match &frame.body {
-                        Message::Needed(_) | Message::HandOver { .. } | Message::Taken(_) => true,
+                        Message::Needed(_)
+                        | Message::HandOver { .. }
+                        | Message::Taken(_)
+                        | Message::Vouch { .. }
+                        | Message::Noted(_) => true,
                         Message::Ask { request: UserRequest::Submit(_, body), .. } => {
                             body.contains("\"follows\":[\"") && !self.limited[n]
                         }
