--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -5,8 +5,8 @@
 use crate::ring::Membership;
 use hazelsaddle_takeover::parcels::{Inbox, Outbox};
 
-/// The form of peers' frames that this needs.
-const FORM: u64 = 3;
+/// The form of peers' frames that this and witnesses need.
+pub(super) const FORM: u64 = 3;
 /// Starts in one parcel, so that none holds up what travels behind it for long.
 const STARTS: usize = 1500;
 
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -83,7 +83,9 @@
             Message::HandOver { number, parcel } if same => self.parcel(now, from, f.boot, number, parcel),
             Message::Vouch { rev, since, added, dropped } if same && from != self.settings.me => {
                 let c = Changes { rev, since, added, dropped };
-                if let Some(rev) = self.witness.heard(from, f.boot, c) {
+                if let Some(rev) = self.witness.heard(from, f.boot, c)
+                    && self.reads(from, handover::FORM)
+                {
                     out.push(Effect::Send(from, self.envelope(now, from, Message::Noted(rev))));
                 }
             }
--- a/src/node/witness.rs
+++ b/src/node/witness.rs
@@ -4,6 +4,7 @@
 //! Who can't reach any witness puts on record that it goes on without: for the rest of that epoch nobody's word about it
 //! counts, and its successor asks every machine.
 
+use super::handover::FORM;
 use super::*;
 use crate::jobs::Owner;
 use crate::peer::{TaskKey, Testimony, Vouched};
@@ -12,8 +13,6 @@
 
 /// Where it is put on record that a controller goes on without witnesses: its latest such epoch under its name.
 pub(super) const PREFIX: &str = "unwitnessed/";
-/// The form of peers' frames that this needs.
-const FORM: u64 = 3;
 /// How long starts are held back for want of a witness.
 const PATIENCE: Micros = Micros::from_millis(2000);
 /// Changes are gathered for so long before the witnesses are told.
