A controller that is told to end hands on what it knows, leaves the ring and is gone within 5 s

Need: a roll killed each controller, and its successor asked every machine. Change: SIGTERM or SIGINT: no more submissions, /ready 503, an epoch of its own without it, jobs and machines handed on, exit code 0 once they are taken, after 5 s at the latest; a second signal ends it at once. Killed hard, all holds as before.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,7 +10,7 @@
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Threads that read requests; a client that sends slowly holds up one of them.
@@ -86,7 +86,8 @@
     }
 }
 
-/// Runs a controller until the process ends.
+/// Runs a controller until it is told to end (SIGTERM, SIGINT) and has handed on what it knows, at most
+/// `node::LEAVING` later.
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
     let start = Instant::now();
     let (tx, rx): (Sender<Inbound>, Receiver<Inbound>) = unbounded();
@@ -167,7 +168,18 @@
     let mut out = Vec::new();
     let clock = || Micros(CLOCK_START.0 + start.elapsed().as_micros() as u64);
     let wall = || Micros(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64));
+    // A flag needs neither a thread nor a pipe; a second signal ends the process at once.
+    let told = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        let now = signal_hook::flag::register_conditional_shutdown(signal, 1, told.clone());
+        if let Err(e) = now.and_then(|_| signal_hook::flag::register(signal, told.clone())) {
+            tracing::info!(signal, reason = %e, "can't be told to end by this signal");
+        }
+    }
     loop {
+        if told.load(Ordering::Relaxed) {
+            node.step(clock(), wall(), Event::Leave, &mut out);
+        }
         let mut next = first_rx.try_recv().ok().or_else(|| {
             crossbeam_channel::select! {
                 recv(first_rx) -> e => e.ok(),
@@ -218,5 +230,12 @@
                 }
             }
         }
+        if node.gone(clock()) {
+            for (_, request) in open.drain() {
+                answer(request, Reply::later("this controller is leaving"));
+            }
+            tracing::info!("handed on and left");
+            return Ok(());
+        }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,8 +15,9 @@
 
 #[derive(Subcommand)]
 enum Action {
-    /// Run a controller until it is killed. Logs go to standard error, as much as LOG_LEVEL
-    /// (error, info or debug) says.
+    /// Run a controller. SIGTERM or SIGINT makes it hand on what it knows, leave the ring and end with code 0
+    /// within 5 s; a second one ends it at once. Logs go to standard error, as much as LOG_LEVEL (error, info
+    /// or debug) says.
     Run {
         /// The platform's settings file (TOML).
         #[arg(long, value_name = "FILE")]
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,6 +13,7 @@
 
 use self::follow::Follow;
 use self::handover::Handover;
+pub use self::handover::LEAVING;
 use self::witness::Witness;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
@@ -62,6 +63,8 @@
     Cloud(CloudRequest, CloudAnswer),
     /// Whether one of the workers that were to be probed has answered.
     Probed(bool),
+    /// The process is to end: hand everything on and leave the ring.
+    Leave,
     /// Only time has passed.
     Tick,
 }
@@ -286,7 +289,9 @@
             Event::User(ticket, r) => self.user(now, Origin::Ticket(ticket), r, out),
             Event::Ready(ticket) => {
                 let acts = self.membership.may_act(now) && self.owner.loaded;
-                let reply = if acts || self.membership.can_pass(now) {
+                let reply = if self.handover.leaving().is_some() {
+                    Reply::later("leaving")
+                } else if acts || self.membership.can_pass(now) {
                     Reply::json(200, &json!({"ready": true}))
                 } else {
                     Reply::later("not yet able to act")
@@ -308,6 +313,7 @@
                 }
             }
             Event::Probed(reached) => self.aside.probed(reached),
+            Event::Leave => self.handover.leave(now),
             Event::Tick => {}
         }
     }
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -31,6 +31,9 @@
 
     /// Leaves the ring, or comes back, when the evidence says so.
     pub(super) fn step_aside(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if self.handover.leaving().is_some() {
+            return self.step_out(now);
+        }
         if self.aside.away().is_none() {
             // With the store's word only: leaving takes a change of the epoch record.
             if !self.membership.store_confirms(now) || self.membership.aside {
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -3,10 +3,13 @@
 use super::*;
 use crate::peer::{HandedJob, HandedMachine, Parcel, Testimony};
 use crate::ring::Membership;
+use crate::ring::aside::Missing;
 use hazelsaddle_takeover::parcels::{Inbox, Outbox};
 
 /// The form of peers' frames that this and witnesses need.
 pub(super) const FORM: u64 = 3;
+/// A process that was told to end is gone after so long, whatever has become of its parcels.
+pub const LEAVING: Micros = Micros::from_millis(5000);
 /// Starts in one parcel, so that none holds up what travels behind it for long.
 const STARTS: usize = 1500;
 
@@ -24,6 +27,8 @@
     since: Option<Micros>,
     taken_jobs: usize,
     taken_machines: usize,
+    /// Since when this process has been told to end.
+    leaving: Option<Micros>,
 }
 
 impl Handover {
@@ -35,8 +40,19 @@
             since: None,
             taken_jobs: 0,
             taken_machines: 0,
+            leaving: None,
         }
     }
+    /// The process is to end. Saying so twice changes nothing.
+    pub(super) fn leave(&mut self, now: Micros) {
+        if self.leaving.is_none() {
+            tracing::info!("told to end: leaving the ring");
+        }
+        self.leaving.get_or_insert(now);
+    }
+    pub(super) fn leaving(&self) -> Option<Micros> {
+        self.leaving
+    }
     /// Packs what was heard of one that is there no more, for a job's new owner.
     pub(super) fn pack_testimony(&mut self, now: Micros, to: usize, t: Testimony) {
         self.out.pack(now, to, Parcel { testimony: vec![t], ..Parcel::default() });
@@ -88,6 +104,31 @@
         }
     }
 
+    /// Leaves the ring because the process is to end. The epoch decides, as always: until it is raised without us we only
+    /// command and answer nothing any more.
+    pub(super) fn step_out(&mut self, now: Micros) {
+        let others = !self.alive.is_empty();
+        if self.aside.away().is_none() && others && self.membership.store_confirms(now) {
+            self.aside.leave(now, Missing::Asked);
+            self.membership.aside = true;
+            self.next_ring = now;
+        }
+    }
+
+    /// Whether a process that was told to end may: it is out of the ring and what it knew has been taken, or there is
+    /// nobody to take it, or its time is up.
+    pub fn gone(&self, now: Micros) -> bool {
+        let Some(since) = self.handover.leaving else { return false };
+        let m = &self.membership;
+        let member = m.epoch > 0 && m.members.contains(&m.me);
+        let left = self.seen.as_ref().is_some_and(|(r, ..)| r.epoch > m.epoch && !m.is_in(r));
+        let asked = self.aside.away() == Some(Missing::Asked);
+        let handed = asked && left && self.handover.out.is_empty();
+        let nobody = self.alive.is_empty() && self.lease.is_some();
+        let out = self.aside.away().is_some() && !asked;
+        !member || handed || nobody || out || now.since(since) >= LEAVING
+    }
+
     fn pack(&mut self, now: Micros, next: &Membership) {
         let jobs = self.owner.hand_over(next);
         let machines = self.home.hand_over(now, next);
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -90,7 +90,11 @@
                 }
             }
             Message::Noted(rev) if same => self.noted(now, from, rev),
-            Message::Taken(numbers) if same => self.handover.acknowledged(from, &numbers),
+            // Who leaves the ring hands over in an epoch that it doesn't adopt. An older process of ours had other
+            // numbers.
+            Message::Taken(numbers) if f.echo_boot == self.boot => {
+                self.handover.acknowledged(from, &numbers);
+            }
             Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
             Message::Answer { id, reply } => {
                 if let Some(a) = self.asked.remove(&id) {
--- a/src/ring/aside.rs
+++ b/src/ring/aside.rs
@@ -25,6 +25,8 @@
     Workers,
     /// Frames of other controllers whose store leases live.
     Peers,
+    /// Nothing: it was told to end.
+    Asked,
 }
 
 /// Away from the ring by its own decision.
@@ -193,6 +195,7 @@
     pub fn may_return(&self, now: Micros, peers: &[usize]) -> bool {
         self.away.is_some_and(|a| {
             let there = match a.missing {
+                Missing::Asked => return false,
                 Missing::Workers => a.reached >= REACHED,
                 Missing::Peers => peers.iter().all(|&p| {
                     self.echoed.get(p).is_some_and(|&e| now.since(e) < Micros(self.member_lease.0 / 4))
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -1477,6 +1477,43 @@
     }
 }
 
+/// Controllers are told to end one after the other, under load: each is gone within the bound, costs one epoch on
+/// leaving and one on coming back, and from a second after it left nobody waits for machines that live.
+#[test]
+fn a_controller_that_is_told_to_end_hands_on_what_it_knows() {
+    for seed in 7400..7412u64 {
+        let mut w = World::new(seed, Shape { machines: 24, room: 16, jobs: 50, run: 40 * S, ..SMALL });
+        w.run(0, 60 * S);
+        let epoch = w.epoch();
+        for i in 0..3 {
+            let n = (seed as usize + i) % 3;
+            w.later(1, What::Node(n, 0, Event::Leave));
+            let told = w.now;
+            while !w.nodes[n].as_ref().is_some_and(|node| node.gone(w.clock(n))) {
+                let until = w.now + S / 10;
+                w.run(0, until);
+                assert!(w.now < told + hazelsaddle::node::LEAVING.0 + S, "seed {seed}: {n} stays");
+            }
+            assert!(w.now < told + 2 * S, "seed {seed}: {n} took {} s", (w.now - told) as f64 / 1e6);
+            w.crash(n);
+            w.back_at[n] = w.now + 8 * S;
+            let until = w.now + S;
+            w.run(0, until);
+            for p in (0..3).filter(|&p| p != n) {
+                let now = w.clock(p);
+                let status = w.nodes[p].as_mut().expect("it lives").status(now);
+                let takeover = &status["takeover"];
+                assert_eq!(takeover["jobs_in_doubt"], 0, "seed {seed}, {n} left, {p}: {status:#}");
+            }
+            let until = w.now + 15 * S;
+            w.run(0, until);
+            assert_eq!(w.epoch(), epoch + 2 * (i as u64 + 1), "seed {seed}: epochs of a roll");
+        }
+        w.run(0, 420 * S);
+        assert!(w.finished().is_empty(), "seed {seed}: {:?}", w.finished());
+    }
+}
+
 /// Few steps, since each is checked, but hundreds of machines and thousands of tasks.
 #[test]
 fn the_rules_hold_at_the_grown_size() {
