--- a/src/machines.rs
+++ b/src/machines.rs
@@ -670,16 +670,21 @@
             }
         }
         for name in gone {
-            if self.returned.insert(name.clone()) && self.returned.len() > RETURNED {
-                self.returned.pop_first();
-            }
-            if let Some(x) = self.machines.get_mut(name)
-                && x.standing != Standing::Gone
-            {
-                x.standing = Standing::Gone;
-                x.entries.clear();
-                self.changes.touch(name, &mut x.version);
-            }
+            self.is_returned(name);
+        }
+    }
+
+    /// The cloud has confirmed that it took this machine back.
+    fn is_returned(&mut self, name: &str) {
+        if self.returned.insert(name.to_owned()) && self.returned.len() > RETURNED {
+            self.returned.pop_first();
+        }
+        if let Some(x) = self.machines.get_mut(name)
+            && x.standing != Standing::Gone
+        {
+            x.standing = Standing::Gone;
+            x.entries.clear();
+            self.changes.touch(name, &mut x.version);
         }
     }
 
--- a/src/machines/handover.rs
+++ b/src/machines/handover.rs
@@ -110,4 +110,17 @@
         self.changes.touch(&h.name, &mut x.version);
         true
     }
+
+    /// Machines whose home is `to` in `next` that are certainly gone: one that has just started does not know, and would
+    /// wait for the leases of all that pages of the roll still name.
+    pub fn gone_for(&self, to: usize, next: &Membership) -> Vec<String> {
+        self.returned.iter().filter(|n| next.home(n) == Some(to)).cloned().collect()
+    }
+
+    /// These are certainly gone.
+    pub fn told_gone(&mut self, gone: &[String]) {
+        for name in gone {
+            self.is_returned(name);
+        }
+    }
 }
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -53,6 +53,12 @@
     pub(super) fn leaving(&self) -> Option<Micros> {
         self.leaving
     }
+    /// Packs what a process that has just joined can't know.
+    pub(super) fn pack_gone(&mut self, now: Micros, to: usize, gone: Vec<String>) {
+        if !gone.is_empty() {
+            self.out.pack(now, to, Parcel { gone, ..Parcel::default() });
+        }
+    }
     /// Packs what was heard of one that is there no more, for a job's new owner.
     pub(super) fn pack_testimony(&mut self, now: Micros, to: usize, t: Testimony) {
         self.out.pack(now, to, Parcel { testimony: vec![t], ..Parcel::default() });
@@ -190,6 +196,7 @@
         if let Some(owed) = self.handover.owed.get_mut(from) {
             owed.push(number);
         }
+        self.home.told_gone(&parcel.gone);
         // One that comes again finds its machines known, and its jobs settled.
         for m in parcel.machines {
             self.handover.taken_machines += usize::from(self.home.handed(now, &self.membership, m));
--- a/src/node/witness.rs
+++ b/src/node/witness.rs
@@ -138,6 +138,10 @@
         if !follows || epoch + 1 != record.epoch || !before.contains(&(me, self.boot)) {
             return;
         }
+        for (to, _) in self.witness.ring.1.clone().into_iter().filter(|p| !before.contains(p)) {
+            let gone = self.home.gone_for(to, &self.membership);
+            self.handover.pack_gone(now, to, gone);
+        }
         let members: Vec<u32> = before.iter().map(|(n, _)| *n as u32).collect();
         let gone = before.iter().filter(|p| !self.witness.ring.1.contains(p)).copied().collect::<Vec<_>>();
         for (of, boot) in gone {
@@ -179,7 +183,10 @@
             }
             let members: Vec<usize> = case.members.iter().map(|&m| m as usize).collect();
             let ring = Ring::new(&self.settings.members, &members);
-            self.witness.taken += self.owner.witnessed(now, of, &ring, &case.items);
+            let helped = self.owner.witnessed(now, of, &ring, &case.items);
+            let items = case.items.len();
+            tracing::info!(epoch, of = %self.settings.members[of], jobs = helped, items, "witnesses heard");
+            self.witness.taken += helped;
         }
     }
 
@@ -231,7 +238,11 @@
         let w = &mut self.witness;
         if !waits {
             w.last_noted = now;
-        } else if w.mode == Mode::On && now.since(w.last_noted) >= PATIENCE && now >= w.next_try {
+        } else if w.mode == Mode::On
+            && now.since(w.last_noted) >= PATIENCE
+            && now >= w.next_try
+            && self.membership.may_act(now)
+        {
             tracing::info!(epoch = self.membership.epoch, "no witness answers: going on without");
             w.mode = Mode::Asking;
             let key = format!("{PREFIX}{}", self.settings.member);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -321,6 +321,8 @@
     pub machines: Vec<HandedMachine>,
     /// What others had vouched for.
     pub testimony: Vec<Testimony>,
+    /// Machines of the receiver's that the cloud has taken back for certain: pages of the roll name them on.
+    pub gone: Vec<String>,
 }
 
 /// A job as its owner of the epoch before knew it.
--- a/src/roll.rs
+++ b/src/roll.rs
@@ -26,6 +26,8 @@
     mark: u64,
     /// It differs from what the store has. Names that may go don't count: they can wait.
     dirty: bool,
+    /// How many names the store's page has that are gone.
+    stale: usize,
     state: State,
 }
 
@@ -106,6 +108,7 @@
             bytes: 2,
             mark: 0,
             dirty: true,
+            stale: 0,
             state: State::Idle,
         });
         p.bytes += size(name, r);
@@ -148,6 +151,7 @@
                 }
                 stays
             });
+            p.stale += before - p.names.len();
             // An empty page goes at once, and one that fits again is written while it does.
             p.dirty |= p.names.len() < before && (p.names.is_empty() || (too_long && p.bytes <= limit));
         }
@@ -158,12 +162,18 @@
     pub fn next_write(&mut self, spare: bool) -> Option<PageWrite> {
         let member = &self.member;
         let limit = self.limit;
+        // Names that are gone go with the next change; where they make up much of a page, from what is spare.
+        let worn = |p: &Page| spare && p.stale * 4 > p.names.len();
         let fits = |p: &Page| {
-            p.dirty && p.state == State::Idle && p.bytes <= limit && (spare || !p.names.is_empty())
+            (p.dirty || worn(p))
+                && p.state == State::Idle
+                && p.bytes <= limit
+                && (spare || !p.names.is_empty())
         };
         let (&n, p) = self.pages.iter_mut().find(|(_, p)| fits(p))?;
         p.state = State::Writing;
         p.dirty = false;
+        p.stale = 0;
         let map: Map<String, Value> = p.names.iter().map(|(n, r)| (n.clone(), entry(r))).collect();
         Some(PageWrite {
             page: n,
--- a/tests/compat.rs
+++ b/tests/compat.rs
@@ -223,6 +223,7 @@
         doubts: vec![vec!["i-000007".into()]],
         machines: vec![machine],
         testimony: vec![testimony],
+        gone: vec!["i-000005".into()],
     };
     let vouch = Message::Vouch { rev: 5, since: 4, added: items.clone(), dropped: items };
     for body in
