What witnesses say is heard: the word of the others had been dropped on arrival

Found in the logs: no line 'witnesses heard'. Change: they are taken; a job that somebody accepted in its owner's place in that very epoch counts as vouched for. Result: a seeded test that fails without it: jobs of a crashed controller are settled 3 s after it is back, its dead machines not heard.

--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -201,11 +201,13 @@
         for m in parcel.machines {
             self.handover.taken_machines += usize::from(self.home.handed(now, &self.membership, m));
         }
-        if !parcel.jobs.is_empty()
-            && self.handover.jobs.take(from, boot, number, (parcel.jobs, parcel.doubts))
-        {
-            self.unpack(now);
+        for t in parcel.testimony {
+            self.witness.testified(from, t);
+        }
+        if !parcel.jobs.is_empty() {
+            self.handover.jobs.take(from, boot, number, (parcel.jobs, parcel.doubts));
         }
+        self.unpack(now);
     }
 
     /// Jobs that were handed to us, once it is known from the records which are live.
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -233,6 +233,9 @@
                 if self.membership.job_owner(&id) != Some(self.settings.me) {
                     // Its owner reads the record when it is asked about the job, or in the next epoch.
                     self.standing_in.insert(id.clone(), now);
+                    if epoch == self.membership.epoch {
+                        self.witness.stood_in(&id, &self.standing_in);
+                    }
                 } else {
                     // Written under an epoch that has passed, it may have been another's since.
                     let fresh = epoch == self.membership.epoch;
--- a/src/node/witness.rs
+++ b/src/node/witness.rs
@@ -55,6 +55,9 @@
     cases: BTreeMap<usize, Case>,
     /// Per controller, the latest epoch in which it went on without witnesses.
     without: BTreeMap<usize, u64>,
+    /// Jobs that we accepted in this epoch in place of an owner that has not answered since: nobody can have started
+    /// them before it.
+    accepted: BTreeSet<String>,
     taken: usize,
 }
 
@@ -70,6 +73,7 @@
             ring: (0, Vec::new()),
             cases: BTreeMap::new(),
             without: BTreeMap::new(),
+            accepted: BTreeSet::new(),
             taken: 0,
         }
     }
@@ -90,6 +94,12 @@
         matches!(self.mode, Mode::On | Mode::Asking)
     }
 
+    /// A job was accepted in this epoch in place of its owner; `waiting` are those whose owners have not answered.
+    pub(super) fn stood_in(&mut self, job: &str, waiting: &BTreeMap<String, Micros>) {
+        self.accepted.retain(|id| waiting.contains_key(id));
+        self.accepted.insert(job.to_owned());
+    }
+
     /// Jobs of this epoch that need not wait, by the word of witnesses.
     pub(super) fn taken(&self) -> usize {
         self.taken
@@ -133,6 +143,8 @@
         w.without.clear();
         w.taken = 0;
         w.mode = Mode::Off;
+        let mut fresh = std::mem::take(&mut w.accepted);
+        fresh.retain(|id| self.standing_in.contains_key(id));
         let heard = w.heard.iter_mut().map(std::mem::take).collect::<Vec<_>>();
         let me = self.settings.me;
         if !follows || epoch + 1 != record.epoch || !before.contains(&(me, self.boot)) {
@@ -146,14 +158,11 @@
         let gone = before.iter().filter(|p| !self.witness.ring.1.contains(p)).copied().collect::<Vec<_>>();
         for (of, boot) in gone {
             for to in self.membership.members.clone() {
-                let items = match heard.get(of) {
-                    Some((b, h)) if *b == boot => h
-                        .items()
-                        .filter(|i| self.membership.job_owner(job_of(i)) == Some(to))
-                        .cloned()
-                        .collect(),
-                    _ => Vec::new(),
-                };
+                let theirs = |job: &str| self.membership.job_owner(job) == Some(to);
+                let told = heard.get(of).filter(|(b, _)| *b == boot).into_iter().flat_map(|(_, h)| h.items());
+                let mut items: Vec<Vouched> = told.filter(|i| theirs(job_of(i))).cloned().collect();
+                // The dead one never vouched for what it never knew. What it started on its own machines it told.
+                items.extend(fresh.iter().filter(|id| theirs(id)).cloned().map(Vouched::Job));
                 let t = Testimony { of: of as u32, epoch, members: members.clone(), items };
                 if to == me {
                     self.witness.testified(me, t);
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -1514,6 +1514,43 @@
     }
 }
 
+/// A controller crashes and is back before its lease has ended, so nobody else has had its jobs, while one of its own
+/// machines hangs. What it had told the others lets its jobs go on long before that machine is certainly dead.
+#[test]
+fn jobs_of_a_crashed_controller_do_not_wait_for_its_dead_machines() {
+    let mut helped = 0;
+    for seed in 7500..7510u64 {
+        let mut w =
+            World::new(seed, Shape { machines: 24, room: 16, jobs: 50, run: 40 * S, pause: 2 * S, ..SMALL });
+        w.run(0, 40 * S);
+        let n = seed as usize % 3;
+        let homes: Vec<Option<usize>> = {
+            let m = &w.nodes[0].as_ref().expect("it lives").membership;
+            w.workers.iter().map(|x| m.home(&x.name)).collect()
+        };
+        for (i, home) in homes.into_iter().enumerate() {
+            if home == Some(n) && i % 3 == 0 {
+                w.workers[i].hung_until = NEVER;
+            }
+        }
+        w.crash(n);
+        w.back_at[n] = w.now + 4 * S;
+        let until = w.now + 7 * S;
+        w.run(0, until);
+        let now = w.clock(n);
+        let node = w.nodes[n].as_mut().expect("it is back");
+        let status = node.status(now);
+        let takeover = &status["takeover"];
+        let waits = takeover["waits_for_machines"].as_array().expect("names").len();
+        assert!(waits > 0, "seed {seed}: the dead ones are not known to be dead yet");
+        assert_eq!(takeover["jobs_in_doubt"], 0, "seed {seed}: {status:#}");
+        helped += takeover["jobs_witnessed"].as_u64().expect("a number");
+        w.run(0, 420 * S);
+        assert!(w.finished().is_empty(), "seed {seed}: {:?}", w.finished());
+    }
+    assert!(helped > 20, "{helped} jobs");
+}
+
 /// Few steps, since each is checked, but hundreds of machines and thousands of tasks.
 #[test]
 fn the_rules_hold_at_the_grown_size() {
