--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -200,6 +200,30 @@
     }
 }
 
+/// The same for one that stays: its lease does not begin anew with the epoch.
+#[test]
+fn the_clock_of_a_machine_that_stays_goes_on() {
+    let t = two();
+    let stays = (0..).map(|i| format!("i-{i:06}")).find(|n| t.next.home(n) == Some(0)).expect("one of many");
+    let r = hazelsaddle::machines::MachineRecord {
+        kind: "k".into(),
+        zone: "z".into(),
+        spot: false,
+        addr: String::new(),
+    };
+    let mut home = Home::new(&settings(0));
+    home.adopt(at(10.0), &t.before, false, |_| None);
+    home.recorded(at(10.0), &stays, r);
+    // A member lease after 10 s nobody else could answer it any more: with a worker lease and its margin that is 35 s.
+    home.adopt(at(30.0), &t.next, true, |_| None);
+    let known = |home: &mut Home, s: f64| {
+        home.tick(at(s), &t.next);
+        home.digest(at(s), &t.next, 0, 0, |_| Some(ROOM)).machines[0].standing == Standing::Known
+    };
+    assert!(!known(&mut home, 34.0));
+    assert!(known(&mut home, 36.0));
+}
+
 fn raw(id: &str, kind: &str, tasks: u32) -> Value {
     json!({"uid":id,"breed":"b","herd":"t","gait":kind,"rank":"high","strides":tasks,"vcpus":2.0,"cards":0,"ramGb":1.0,
         "tack":"i","imageGb":1,"together":true,"scatter":false,"borrowed":true,"rideS":1,"restS":0,"unsaddleS":0})
