Witnesses are heard over one epoch in between; polls are answered from the record while an owner is away

Change: what a member told stays with its witnesses until it tells them anew; word of the epoch before last counts if nobody heard of it since, every start had to be witnessed in both, and job and machine were its by both rings. Starts that wait in homes no longer slip out between adopting an epoch and telling its witnesses (found on reading; it was harmless as long as only that epoch's word counted). A poll whose owner does not answer within 0.6 s, or may not yet, is answered from the job's record.

--- a/src/jobs/vouch.rs
+++ b/src/jobs/vouch.rs
@@ -70,8 +70,10 @@
     }
 
     /// All witnesses of a controller that is there no more have spoken: the jobs that it vouched for, of those that were
-    /// its by that epoch's `ring`, need not wait for the machines whose home it was. Returns how many jobs that helped.
-    pub fn witnessed(&mut self, now: Micros, of: usize, ring: &Ring, items: &BTreeSet<Vouched>) -> usize {
+    /// its by all `rings` that this rests on, need not wait for the machines whose home it was by all of them. Returns
+    /// how many jobs that helped.
+    pub fn witnessed(&mut self, now: Micros, of: usize, rings: &[Ring], items: &BTreeSet<Vouched>) -> usize {
+        let its = |class: &str, name: &str| rings.iter().all(|r| r.owner_of(class, name) == Some(of));
         let mut starts: BTreeMap<&str, Vec<HandedStart>> = BTreeMap::new();
         for item in items {
             if let Vouched::Start { key, machine, zone } = item {
@@ -90,7 +92,7 @@
         let theirs: Vec<String> = items
             .iter()
             .filter_map(|i| match i {
-                Vouched::Job(id) if ring.owner_of("job/", id) == Some(of) => Some(id.clone()),
+                Vouched::Job(id) if its("job/", id) => Some(id.clone()),
                 _ => None,
             })
             .collect();
@@ -99,7 +101,7 @@
             let Evidence::Waits(d) = j.evidence else { continue };
             let doubts = &mut self.doubts;
             let evidence = *narrowed.entry(d).or_insert_with(|| {
-                let others = doubts.machines(d).filter(|m| ring.owner_of("machine/", m) != Some(of));
+                let others = doubts.machines(d).filter(|m| !its("machine/", m));
                 let others: BTreeSet<String> = others.cloned().collect();
                 doubts.open(others).map_or(Evidence::Complete, Evidence::Waits)
             });
--- a/src/node.rs
+++ b/src/node.rs
@@ -36,6 +36,8 @@
 const WAITING_LIMIT: usize = 1000;
 /// Requests of one purpose under way at the state service.
 const IN_FLIGHT: usize = 12;
+/// The same, from which on polls of jobs whose owner doesn't answer are not looked up.
+const PEEKS: usize = 30;
 /// A gap between two rounds from which on this process is taken to have stood still. Rounds are a
 /// tenth of a second apart.
 const PAUSE: Micros = Micros::from_millis(1000);
@@ -110,6 +112,8 @@
     Verify(String),
     VerifyEnd(String),
     Lookup(String),
+    Peek(String, Origin),
+    PeekEnd(String, Origin),
     LookupEnd(String),
     Roll(u64, PageWrite),
     ReadPage(u64, u32),
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -61,6 +61,7 @@
             let number = name.and_then(|n| self.settings.members.iter().position(|m| m == n));
             if let (Some(n), Some(boot)) = (number, r.value.get("boot").and_then(Value::as_u64)) {
                 f.forms[n] = (boot, reads(r));
+                self.witness.note_form(boot, reads(r));
             }
         }
         if !f.all_once && !f.noting && f.forms.iter().all(|(_, form)| *form >= FORM) {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -154,6 +154,8 @@
                 }
             }
             Purpose::Unwitnessed(e) => self.unwitnessed(now, e, matches!(a, StoreAnswer::Committed(_))),
+            Purpose::Peek(id, from) => self.peeked(now, id, from, a, false, out),
+            Purpose::PeekEnd(id, from) => self.peeked(now, id, from, a, true, out),
             Purpose::NoteForms => self.forms_noted(matches!(a, StoreAnswer::Committed(_))),
             Purpose::Revision | Purpose::Watch => self.watched(now, a),
             Purpose::ReadEnd(id) => self.prerequisite_read(now, &id, a),
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -32,6 +32,7 @@
                     true => return,
                     false => Reply::later("taking over"),
                 },
+                UserRequest::Query(id) if self.peek(now, from, id, out) => return,
                 _ => Reply::later("taking over"),
             },
             Some(_) => match self.own_request(now, from, r, out) {
@@ -96,6 +97,50 @@
         true
     }
 
+    /// Answers a poll from the record where the job's owner can't: a live record says that nobody has told its end, a
+    /// final one says what was told. Returns whether the record is asked for.
+    fn peek(&mut self, now: Micros, from: Origin, id: &str, out: &mut Vec<Effect>) -> bool {
+        if !self.membership.may_act(now)
+            || now < self.store_pause
+            || self.in_flight.len() >= PEEKS
+            || !self.requests.take(now, 2.0, 0.3)
+        {
+            return false;
+        }
+        self.ask_store(Purpose::Peek(id.to_owned(), from), StoreRequest::Get(format!("job/{id}")), out);
+        true
+    }
+
+    /// The record of a job of somebody else's. That there is none proves nothing here: its end may just be moving.
+    pub(super) fn peeked(
+        &mut self,
+        now: Micros,
+        id: String,
+        from: Origin,
+        a: StoreAnswer,
+        end: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let reply = match a {
+            StoreAnswer::Got(None) if !end => {
+                let key = format!("done/{id}");
+                return self.ask_store(Purpose::PeekEnd(id, from), StoreRequest::Get(key), out);
+            }
+            StoreAnswer::Got(Some(row)) if end => read_end(&row.value).map(|(f, done)| (stance_of(f), done)),
+            StoreAnswer::Got(Some(row)) => {
+                Owner::read_record(&row.value).map(|(.., done)| ("pending", done.len()))
+            }
+            _ => None,
+        };
+        let reply = match reply {
+            Some((stance, done)) if self.membership.may_act(now) => {
+                Reply::json(200, &json!({"uid": id, "stance": stance, "done": done, "running": 0}))
+            }
+            _ => Reply::later("the job's owner does not answer"),
+        };
+        self.reply(now, from, reply, out);
+    }
+
     pub(super) fn known(&self, id: &str) -> Option<Reply> {
         let mut body = if let Some((stance, done, running)) = self.owner.stance(id) {
             json!({"uid": id, "stance": stance, "done": done, "running": running})
@@ -304,7 +349,11 @@
     pub(super) fn overdue(&mut self, now: Micros, out: &mut Vec<Effect>) {
         // An answer takes a few hundredths of a second. Users of new jobs wait for no more than that.
         let patience = Micros(self.settings.digest.0 / 4);
-        let late = |a: &Asked| now.since(a.at) >= Micros::from_millis(1500);
+        let late = |a: &Asked| {
+            // A poll is waited for for two seconds, and the record can answer it.
+            let poll = a.ticket.is_some() && matches!(a.request, UserRequest::Query(_));
+            now.since(a.at) >= Micros::from_millis(if poll { 600 } else { 1500 })
+        };
         let slow: Vec<u64> = self
             .asked
             .iter()
@@ -322,6 +371,11 @@
             {
                 continue;
             }
+            if let UserRequest::Query(job) = &a.request
+                && self.peek(now, Origin::Ticket(ticket), job, out)
+            {
+                continue;
+            }
             if late(&a) {
                 let (what, job) = (a.request.kind(), a.request.job());
                 tracing::debug!(what, job, "request refused: its owner does not answer");
--- a/src/node/witness.rs
+++ b/src/node/witness.rs
@@ -31,14 +31,32 @@
     Without,
 }
 
-/// One that is there no more, as its witnesses remember it.
+/// One that is there no more, as its witnesses remember it: who has spoken, and what they said.
+#[derive(Default)]
 struct Case {
-    members: Vec<u32>,
-    /// Who has spoken, and all that they said.
-    spoken: BTreeSet<usize>,
+    spoken: BTreeMap<usize, Testimony>,
+}
+
+/// What all who witnessed a controller know together.
+struct Word {
+    /// The first epoch that it rests on: in none from there on may the controller have gone on without witnesses.
+    epoch: u64,
+    /// The members of the epochs that it rests on. By each of them a job must be the controller's, and a machine.
+    rings: Vec<Vec<u32>>,
     items: BTreeSet<Vouched>,
 }
 
+/// What another member has told us.
+#[derive(Default)]
+struct Stream {
+    /// Its process.
+    boot: u64,
+    /// The epoch in which it last told us, and that epoch's members.
+    epoch: u64,
+    members: Vec<u32>,
+    told: Heard<Vouched>,
+}
+
 /// What we tell witnesses, what we have heard as one, and what new owners are told.
 pub(super) struct Witness {
     mode: Mode,
@@ -47,10 +65,13 @@
     /// When somebody last said that it holds something, or when there was first something to hold.
     last_noted: Micros,
     next_try: Micros,
-    /// Per controller, its process and what it has told us in this epoch.
-    heard: Vec<(u64, Heard<Vouched>)>,
+    streams: Vec<Stream>,
     /// The epoch, and the processes that are its members.
     ring: (u64, Vec<(usize, u64)>),
+    /// From which epoch on we have taken up every one, and in each of which every member read this form.
+    since: u64,
+    /// The newest form that each process reads, by what the store said of it.
+    forms: BTreeMap<u64, u64>,
     /// Members of the epoch before that are there no more.
     cases: BTreeMap<usize, Case>,
     /// Per controller, the latest epoch in which it went on without witnesses.
@@ -61,6 +82,9 @@
     taken: usize,
 }
 
+/// Processes whose form is remembered.
+const FORMS: usize = 200;
+
 impl Witness {
     pub(super) fn new(controllers: usize) -> Witness {
         Witness {
@@ -69,8 +93,10 @@
             last_told: vec![Micros(0); controllers],
             last_noted: Micros(0),
             next_try: Micros(0),
-            heard: (0..controllers).map(|_| (0, Heard::default())).collect(),
+            streams: (0..controllers).map(|_| Stream::default()).collect(),
             ring: (0, Vec::new()),
+            since: 0,
+            forms: BTreeMap::new(),
             cases: BTreeMap::new(),
             without: BTreeMap::new(),
             accepted: BTreeSet::new(),
@@ -78,6 +104,21 @@
         }
     }
 
+    /// The store says which form a process reads; that never changes.
+    pub(super) fn note_form(&mut self, boot: u64, form: u64) {
+        if self.forms.len() >= FORMS {
+            // Processes come with random numbers: which ones stay is chance, and a form that is not known costs a wait.
+            self.forms.pop_first();
+        }
+        self.forms.insert(boot, form);
+    }
+
+    /// Whether in this epoch starts go out without witnesses, because a member is known not to understand.
+    fn is_off(&self, me: usize) -> bool {
+        let mut others = self.ring.1.iter().filter(|(n, _)| *n != me).peekable();
+        others.peek().is_none() || others.any(|(_, boot)| self.forms.get(boot).is_some_and(|f| *f < FORM))
+    }
+
     /// Whether a start may go out to one of our machines. One that another owner decided is known to that one too.
     pub(super) fn may_go(&self, m: &Membership, owner: &Owner, key: &TaskKey, machine: &str) -> bool {
         match self.mode {
@@ -107,47 +148,104 @@
 
     /// Takes what another member has told; returns the number to say in answer.
     pub(super) fn heard(&mut self, from: usize, boot: u64, c: Changes<Vouched>) -> Option<u64> {
-        let of = self.heard.get_mut(from)?;
-        if of.0 != boot {
-            *of = (boot, Heard::default());
+        let epoch = self.ring.0;
+        let of = self.streams.get_mut(from)?;
+        if of.boot != boot {
+            *of = Stream { boot, ..Stream::default() };
+        }
+        // The first word in an epoch is the whole set.
+        if of.epoch != epoch && c.since != 0 {
+            return None;
         }
-        of.1.take(c)
+        let rev = of.told.take(c)?;
+        if of.epoch != epoch {
+            of.epoch = epoch;
+            of.members = self.ring.1.iter().map(|(n, _)| *n as u32).collect();
+        }
+        Some(rev)
     }
 
     /// A witness speaks of one that is there no more.
     pub(super) fn testified(&mut self, from: usize, t: Testimony) {
-        if t.epoch + 1 != self.ring.0 || !t.members.contains(&(from as u32)) {
-            return;
+        if t.epoch + 1 == self.ring.0 && t.members.contains(&(from as u32)) {
+            self.cases.entry(t.of as usize).or_default().spoken.entry(from).or_insert(t);
         }
-        let case = self.cases.entry(t.of as usize).or_insert_with(|| Case {
-            members: t.members.clone(),
-            spoken: BTreeSet::new(),
-            items: BTreeSet::new(),
-        });
-        if case.members == t.members && case.spoken.insert(from) {
-            case.items.extend(t.items);
+    }
+
+    /// What those who have spoken of `of` know together; None while somebody who may hold something has not spoken, or
+    /// if what they heard is too old.
+    fn together(&self, of: usize) -> Option<Word> {
+        let spoken = &self.cases.get(&of)?.spoken;
+        let all_spoke = |members: &[u32], since: u64| {
+            let mut others = members.iter().map(|m| *m as usize).filter(|m| *m != of).peekable();
+            others.peek().is_some() && others.all(|m| spoken.get(&m).is_some_and(|t| t.since <= since))
+        };
+        let first = spoken.values().next()?;
+        if !all_spoke(&first.members, first.epoch) || spoken.values().any(|t| t.members != first.members) {
+            return None;
+        }
+        // The latest epoch in which anybody heard of it. What it told in that one named all there was before; if nobody
+        // heard of it in the one after, nothing was witnessed there and, as starts had to be, nothing started. Further
+        // back, its jobs may have been another's in between.
+        let latest = spoken.values().max_by_key(|t| t.heard_in)?;
+        let fresh: Vec<String> = spoken.values().flat_map(|t| t.fresh.iter().cloned()).collect();
+        let heard = latest.heard_in > 0
+            && latest.heard_in + 1 >= first.epoch
+            && all_spoke(&latest.heard_with, latest.heard_in);
+        let mut word =
+            Word { epoch: first.epoch, rings: vec![first.members.clone()], items: BTreeSet::new() };
+        if heard {
+            let same = spoken.values().filter(|t| t.heard_in == latest.heard_in);
+            word.items = same.flat_map(|t| t.items.iter().cloned()).collect();
+            word.epoch = latest.heard_in;
+            word.rings.push(latest.heard_with.clone());
+        } else if latest.heard_in == first.epoch {
+            return None;
         }
+        word.items.extend(fresh.into_iter().map(Vouched::Job));
+        Some(word)
     }
 }
 
 impl Node {
-    /// A new epoch: what was heard of members that are there no more goes to the new owners of their jobs. Only the
-    /// epoch directly before counts: later ones may have started more.
+    /// A new epoch has been taken up by the membership: what was heard of members that are there no more goes to the new
+    /// owners of their jobs, and who has just joined is told which machines are gone.
     pub(super) fn testify(&mut self, now: Micros, record: &EpochRecord, follows: bool) {
         let number = |name: &String| self.settings.members.iter().position(|m| m == name);
         let processes: Vec<(usize, u64)> =
             record.members.iter().filter_map(|(n, boot)| Some((number(n)?, *boot))).collect();
+        let me = self.settings.me;
         let w = &mut self.witness;
+        let all_read =
+            w.ring.1.iter().all(|(n, boot)| *n == me || w.forms.get(boot).is_some_and(|f| *f >= FORM));
         let (epoch, before) = std::mem::replace(&mut w.ring, (record.epoch, processes));
+        let follows = follows && epoch + 1 == record.epoch && before.contains(&(me, self.boot));
+        if !follows {
+            w.since = record.epoch;
+        } else if !all_read {
+            // In the epoch that ends, starts may have gone out that nobody was told.
+            w.since = record.epoch;
+        }
+        let since = if all_read { w.since } else { epoch + 1 };
         w.cases.clear();
         w.without.clear();
         w.taken = 0;
-        w.mode = Mode::Off;
+        // Starts that wait in the homes must not slip out before the witnesses of this epoch have been told.
+        w.mode = if w.is_off(me) { Mode::Off } else { Mode::On };
+        w.told.begin(w.ring.1.iter().map(|(n, _)| *n).filter(|n| *n != me));
+        w.last_told.fill(Micros(0));
+        w.last_noted = now;
         let mut fresh = std::mem::take(&mut w.accepted);
         fresh.retain(|id| self.standing_in.contains_key(id));
-        let heard = w.heard.iter_mut().map(std::mem::take).collect::<Vec<_>>();
-        let me = self.settings.me;
-        if !follows || epoch + 1 != record.epoch || !before.contains(&(me, self.boot)) {
+        let gone: Vec<(usize, u64)> = before.iter().filter(|p| !w.ring.1.contains(p)).copied().collect();
+        let mut streams: BTreeMap<usize, Stream> = BTreeMap::new();
+        for (n, s) in w.streams.iter_mut().enumerate() {
+            // What a member told stays with us until it tells us anew: it may be gone before it does.
+            if !follows || !w.ring.1.contains(&(n, s.boot)) {
+                streams.insert(n, std::mem::take(s));
+            }
+        }
+        if !follows {
             return;
         }
         for (to, _) in self.witness.ring.1.clone().into_iter().filter(|p| !before.contains(p)) {
@@ -155,15 +253,21 @@
             self.handover.pack_gone(now, to, gone);
         }
         let members: Vec<u32> = before.iter().map(|(n, _)| *n as u32).collect();
-        let gone = before.iter().filter(|p| !self.witness.ring.1.contains(p)).copied().collect::<Vec<_>>();
+        let none = Stream::default();
         for (of, boot) in gone {
+            let s = streams.get(&of).filter(|s| s.boot == boot && s.epoch > 0).unwrap_or(&none);
             for to in self.membership.members.clone() {
                 let theirs = |job: &str| self.membership.job_owner(job) == Some(to);
-                let told = heard.get(of).filter(|(b, _)| *b == boot).into_iter().flat_map(|(_, h)| h.items());
-                let mut items: Vec<Vouched> = told.filter(|i| theirs(job_of(i))).cloned().collect();
-                // The dead one never vouched for what it never knew. What it started on its own machines it told.
-                items.extend(fresh.iter().filter(|id| theirs(id)).cloned().map(Vouched::Job));
-                let t = Testimony { of: of as u32, epoch, members: members.clone(), items };
+                let t = Testimony {
+                    of: of as u32,
+                    epoch,
+                    members: members.clone(),
+                    heard_in: s.epoch,
+                    heard_with: s.members.clone(),
+                    since,
+                    items: s.told.items().filter(|i| theirs(job_of(i))).cloned().collect(),
+                    fresh: fresh.iter().filter(|id| theirs(id)).cloned().collect(),
+                };
                 if to == me {
                     self.witness.testified(me, t);
                 } else {
@@ -178,22 +282,20 @@
         if !self.owner.loaded {
             return;
         }
-        let w = &mut self.witness;
-        let complete = |(of, c): (&usize, &mut Case)| {
-            let all = c.members.iter().map(|&m| m as usize).filter(|m| m != of);
-            all.clone().count() > 0 && all.clone().all(|m| c.spoken.contains(&m))
-        };
-        let epoch = w.ring.0.saturating_sub(1);
-        let done: Vec<(usize, Case)> = w.cases.extract_if(.., |of, c| complete((of, c))).collect();
-        for (of, case) in done {
+        for of in self.witness.cases.keys().copied().collect::<Vec<_>>() {
+            let Some(word) = self.witness.together(of) else { continue };
+            self.witness.cases.remove(&of);
             // It went on without witnesses: they don't know all.
-            if self.witness.without.get(&of) == Some(&epoch) {
+            if self.witness.without.get(&of).is_some_and(|w| *w >= word.epoch) {
                 continue;
             }
-            let members: Vec<usize> = case.members.iter().map(|&m| m as usize).collect();
-            let ring = Ring::new(&self.settings.members, &members);
-            let helped = self.owner.witnessed(now, of, &ring, &case.items);
-            let items = case.items.len();
+            let ring = |members: &Vec<u32>| {
+                let members: Vec<usize> = members.iter().map(|&m| m as usize).collect();
+                Ring::new(&self.settings.members, &members)
+            };
+            let rings: Vec<Ring> = word.rings.iter().map(ring).collect();
+            let helped = self.owner.witnessed(now, of, &rings, &word.items);
+            let (epoch, items) = (word.epoch, word.items.len());
             tracing::info!(epoch, of = %self.settings.members[of], jobs = helped, items, "witnesses heard");
             self.witness.taken += helped;
         }
@@ -205,17 +307,11 @@
         if !ready || self.witness.mode == Mode::Without {
             return;
         }
-        let others: Vec<usize> = self.membership.others().collect();
-        if self.witness.mode == Mode::Off {
-            if others.is_empty() || !others.iter().all(|&p| self.reads(p, FORM)) {
-                return;
-            }
-            let w = &mut self.witness;
-            w.mode = Mode::On;
-            w.told.begin(others.iter().copied());
-            w.last_told.fill(Micros(0));
-            w.last_noted = now;
+        if self.witness.is_off(self.settings.me) {
+            self.witness.mode = Mode::Off;
+            return;
         }
+        let others: Vec<usize> = self.membership.others().collect();
         let due: Vec<usize> =
             others.into_iter().filter(|&p| now.since(self.witness.last_told[p]) >= GATHER).collect();
         if due.is_empty() {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -302,12 +302,20 @@
 pub struct Testimony {
     /// The one that is there no more.
     pub of: u32,
-    /// The epoch.
+    /// The last epoch of which it was a member.
     pub epoch: u64,
-    /// Its members. Only together do they hold all that was witnessed.
+    /// That epoch's members. Only together do they hold all that was witnessed.
     pub members: Vec<u32>,
+    /// The epoch in which the sender last heard of it, 0: never.
+    pub heard_in: u64,
+    /// That epoch's members.
+    pub heard_with: Vec<u32>,
+    /// The epoch from which on the sender has taken up every one, and in each of which starts had to be witnessed.
+    pub since: u64,
     /// What was heard of jobs that are the receiver's now.
     pub items: Vec<Vouched>,
+    /// Jobs that the sender accepted in that last epoch in its place: nobody can have started them before.
+    pub fresh: Vec<String>,
 }
 
 /// Jobs and machines handed over. The sender commands none of them any more.
