--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -274,7 +274,7 @@
         };
         let all = others.iter().map(other).chain([free.clone()]);
         let machines = all.filter(|d| t.new.home(&d.name) == Some(from)).collect();
-        let d = Digest { seq: (8 << 32) + seq, since: 0, rev_seen, machines };
+        let d = Digest { seq: (t.new.epoch << 32) + seq, since: 0, rev_seen, machines };
         o.digest(at(5.0), &t.new, from, d);
     }
 }
@@ -336,6 +336,23 @@
     assert_eq!(o.unheard(), 1, "the other machine is as dark as it was");
 }
 
+/// What a machine has shown since the job became ours stays true in the epochs that follow.
+#[test]
+fn a_machine_that_has_spoken_is_not_waited_for_again_in_the_next_epoch() {
+    let t = two();
+    let (mut o, teams, free) = owner(&t, "batch", 2);
+    hear(&mut o, &t, 1, &free, &[(t.machine.as_str(), Standing::Known), ("i-dark", Standing::Unconfirmed)]);
+    assert!(placed(&mut o, &t, &teams, 6.0).is_empty(), "one of two has spoken");
+    let mut after = two();
+    assert!(after.new.adopt(at(1100.0), &record(9, &[0, 1]), 3));
+    o.adopt(&after.new, true);
+    o.load_done([t.machine.clone(), "i-dark".to_owned()].into_iter());
+    // Now the other one does, and the first one's new home has yet to hear it.
+    let known = [(t.machine.as_str(), Standing::Unconfirmed), ("i-dark", Standing::Known)];
+    hear(&mut o, &after, 1, &free, &known);
+    assert_eq!(placed(&mut o, &after, &teams, 7.0), [0, 1]);
+}
+
 /// A gang is one attempt: what is left of it is stopped, and the next waits until that is gone.
 #[test]
 fn a_handed_gang_that_is_not_whole_is_ended_before_it_is_tried_again() {
