--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -331,6 +331,7 @@
         self.dirty.fill(true);
         self.doubts.on_record(&self.unheard);
         self.of_epoch = self.doubts.open(self.unheard.clone());
+        self.vouching.jobs_changed = true;
         let read = self.of_epoch.map_or(Evidence::Complete, Evidence::Waits);
         for j in self.jobs.values_mut().filter(|j| j.evidence == Evidence::Unread) {
             j.evidence = read;
@@ -386,6 +387,7 @@
             raw,
         };
         self.jobs.insert(id.clone(), job);
+        self.vouching.jobs_changed = true;
         self.note_waiting(&id);
         self.replan = true;
     }
@@ -416,6 +418,7 @@
         // Whoever waits for it must hear even if it was not ours any more: the store has its end.
         self.prerequisite_ended(id, f);
         let Some(j) = self.jobs.remove(id) else { return };
+        self.vouching.jobs_changed = true;
         self.forget_waiting(id, &j);
         self.blame.forget(id);
         tracing::info!(job = id, end = ?f, tasks = j.spec.tasks, "job ended");
@@ -491,6 +494,7 @@
         for j in self.jobs.values_mut() {
             if matches!(j.evidence, Evidence::Waits(d) if !self.doubts.is_open(d)) {
                 j.evidence = Evidence::Complete;
+                self.vouching.jobs_changed = true;
                 self.replan = true;
             }
         }
--- a/src/jobs/handover.rs
+++ b/src/jobs/handover.rs
@@ -83,6 +83,7 @@
                 continue;
             };
             j.evidence = evidence;
+            self.vouching.jobs_changed = true;
             taken += 1;
             let (tasks, gang) = (j.spec.tasks, j.spec.kind == Kind::Gang);
             let completed: Vec<u32> =
--- a/src/jobs/vouch.rs
+++ b/src/jobs/vouch.rs
@@ -9,13 +9,25 @@
 use hazelsaddle_base::ring::Ring;
 
 /// What the witnesses are told.
-#[derive(Default)]
 pub(super) struct Vouching {
     /// Starts on machines of our own that may have changed.
     pub(super) touched: BTreeSet<Key>,
     /// Those that were last told of, with their zones, and the jobs that we last vouched for.
     starts: BTreeMap<Key, String>,
     jobs: BTreeSet<String>,
+    /// What is known of jobs has changed, or which there are.
+    pub(super) jobs_changed: bool,
+}
+
+impl Default for Vouching {
+    fn default() -> Self {
+        Vouching {
+            touched: BTreeSet::new(),
+            starts: BTreeMap::new(),
+            jobs: BTreeSet::new(),
+            jobs_changed: true,
+        }
+    }
 }
 
 impl Owner {
@@ -47,6 +59,9 @@
                 _ => {}
             }
         }
+        if !std::mem::take(&mut self.vouching.jobs_changed) {
+            return out;
+        }
         let settled = |id: &String| self.jobs.get(id).is_some_and(Job::settled);
         let gone: Vec<String> = self.vouching.jobs.iter().filter(|id| !settled(id)).cloned().collect();
         for id in gone {
@@ -106,6 +121,7 @@
                 doubts.open(others).map_or(Evidence::Complete, Evidence::Waits)
             });
             j.evidence = evidence;
+            self.vouching.jobs_changed = true;
             helped += 1;
             let (tasks, gang) = (j.spec.tasks, j.spec.kind == Kind::Gang);
             for s in starts.remove(id.as_str()).unwrap_or_default() {
