One witness is told, ten times a second at the most; the other only when the first is silent

Change: changes are gathered for 0.1 s, the next member by number is told, all if it is silent for half a second. Who is not told holds an older list, which only makes a successor wait for more; a late word of it counts for nothing (the unit test found that it did).

--- a/crates/takeover/src/witness.rs
+++ b/crates/takeover/src/witness.rs
@@ -25,10 +25,20 @@
 struct Peer<K> {
     /// The message that it last said it has; 0: none.
     has: u64,
+    /// It has been told something; before that it need not be told of changes.
+    asked: bool,
+    /// What it says of messages up to this one means nothing: they were said before it was forgotten.
+    floor: u64,
     /// Changes that it has not said it has, with the first message that named them; None before that.
     open: BTreeMap<K, Option<u64>>,
 }
 
+impl<K> Peer<K> {
+    fn new(floor: u64) -> Peer<K> {
+        Peer { has: 0, asked: false, floor, open: BTreeMap::new() }
+    }
+}
+
 /// The teller's side.
 #[derive(Clone, Debug)]
 pub struct Told<K> {
@@ -47,14 +57,14 @@
     /// Begins anew with other witnesses, who hold nothing. Numbers go on.
     pub fn begin(&mut self, peers: impl Iterator<Item = usize>) {
         self.live.clear();
-        self.peers = peers.map(|p| (p, Peer { has: 0, open: BTreeMap::new() })).collect();
+        self.peers = peers.map(|p| (p, Peer::new(self.rev))).collect();
     }
 
     /// An item is there, or is no more.
     pub fn set(&mut self, item: K, there: bool) {
         let changed = if there { self.live.insert(item.clone()) } else { self.live.remove(&item) };
         if changed {
-            for p in self.peers.values_mut() {
+            for p in self.peers.values_mut().filter(|p| p.asked) {
                 p.open.insert(item.clone(), None);
             }
         }
@@ -63,9 +73,7 @@
     /// Whether `peer` is to hear something that it was never told.
     #[must_use]
     pub fn has_news(&self, peer: usize) -> bool {
-        self.peers
-            .get(&peer)
-            .is_some_and(|p| p.open.values().any(Option::is_none) || (p.has == 0 && self.rev == 0))
+        self.peers.get(&peer).is_some_and(|p| !p.asked || p.open.values().any(Option::is_none))
     }
 
     /// Whether `peer` has yet to say that it has all that it was told.
@@ -80,6 +88,7 @@
         let p = self.peers.get_mut(&peer)?;
         self.rev += 1;
         let rev = self.rev;
+        p.asked = true;
         for named in p.open.values_mut() {
             named.get_or_insert(rev);
         }
@@ -90,10 +99,18 @@
         Some(Changes { rev, since: p.has, added, dropped })
     }
 
+    /// A witness is not needed for now: what it holds may grow old, and it is told the whole set when it is next told
+    /// anything. Without this the changes that it is not told of would pile up.
+    pub fn forget(&mut self, peer: usize) {
+        if let Some(p) = self.peers.get_mut(&peer) {
+            *p = Peer::new(self.rev);
+        }
+    }
+
     /// A witness has this message. Returns the items that are witnessed now and were not.
     pub fn noted(&mut self, peer: usize, rev: u64) -> Vec<K> {
         let Some(p) = self.peers.get(&peer) else { return Vec::new() };
-        if rev <= p.has || rev > self.rev {
+        if rev <= p.has.max(p.floor) || rev > self.rev {
             return Vec::new();
         }
         let first = p.has == 0;
@@ -221,6 +238,7 @@
                             back.extend(heard[p - 1].take(c).map(|rev| (p, rev)));
                         }
                     }
+                    6 if !calm && rng.random_bool(0.1) => told.forget(2),
                     _ if !back.is_empty() => {
                         let (p, rev) = back.swap_remove(rng.random_range(0..back.len()));
                         if calm || rng.random_bool(0.8) {
--- a/src/node/witness.rs
+++ b/src/node/witness.rs
@@ -15,8 +15,11 @@
 pub(super) const PREFIX: &str = "unwitnessed/";
 /// How long starts are held back for want of a witness.
 const PATIENCE: Micros = Micros::from_millis(2000);
-/// Changes are gathered for so long before the witnesses are told.
-const GATHER: Micros = Micros::from_millis(20);
+/// Changes are gathered for so long before a witness is told: a start waits for its machine's report anyway, and a
+/// frame costs more than what it says.
+const GATHER: Micros = Micros::from_millis(100);
+/// The next member is told what the others are not, unless it has said nothing for so long.
+const SECOND: Micros = Micros::from_millis(500);
 
 /// Whether starts on our own machines need a witness.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -311,9 +314,20 @@
             self.witness.mode = Mode::Off;
             return;
         }
-        let others: Vec<usize> = self.membership.others().collect();
+        // One witness will do, and costs half of what two do: the next member by number, and all if that one is silent.
+        let n = self.settings.members.len();
+        let others =
+            (1..n).map(|i| (self.settings.me + i) % n).filter(|p| self.membership.members.contains(p));
+        let silent = now.since(self.witness.last_noted) >= SECOND;
+        let asked = others.take(if silent { n } else { 1 });
+        let asked: Vec<usize> = asked.collect();
+        if let (false, [first]) = (silent, &asked[..])
+            && !self.witness.told.waits(*first)
+        {
+            (0..n).filter(|p| p != first).for_each(|p| self.witness.told.forget(p));
+        }
         let due: Vec<usize> =
-            others.into_iter().filter(|&p| now.since(self.witness.last_told[p]) >= GATHER).collect();
+            asked.into_iter().filter(|&p| now.since(self.witness.last_told[p]) >= GATHER).collect();
         if due.is_empty() {
             return;
         }
