--- /dev/null
+++ b/crates/pact/src/record.rs
@@ -0,0 +1,278 @@
+//! A pact's record: key, form, version, phase, and the body of whoever stands on it.
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+/// The form that this version writes; one that is newer is not understood and holds what rests on it.
+pub const FORM: u64 = 1;
+/// All heads of records begin with this; pages don't, so that a list of heads is short.
+pub const HEADS: &str = "pact/";
+/// All pages begin with this.
+pub const PAGES: &str = "pactpage/";
+/// Longest name, in bytes: with prefix and page number a key stays well below the service's 200.
+pub const NAME: usize = 120;
+
+/// What a pact is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// A title's release on one night.
+    Release,
+    /// A batch of inputs and its version.
+    Batch,
+    /// Room that one team lends to another.
+    Loan,
+}
+
+impl Kind {
+    /// Its part of a key.
+    #[must_use]
+    pub const fn code(self) -> &'static str {
+        match self {
+            Kind::Release => "r",
+            Kind::Batch => "b",
+            Kind::Loan => "l",
+        }
+    }
+    /// The beginning of all its heads' keys.
+    #[must_use]
+    pub fn prefix(self) -> String {
+        format!("{HEADS}{}/", self.code())
+    }
+}
+
+/// A name that can't be part of a key.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a name must have 1 to {NAME} bytes, and neither spaces, slashes nor control characters")]
+pub struct BadName;
+
+/// A record's key.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    kind: Kind,
+    name: String,
+}
+
+impl Key {
+    /// The key of a record.
+    ///
+    /// # Errors
+    /// If the name can't be part of a key of the state service.
+    pub fn new(kind: Kind, name: &str) -> Result<Key, BadName> {
+        let good = (1..=NAME).contains(&name.len())
+            && name.chars().all(|c| !c.is_whitespace() && !c.is_control() && c != '/');
+        if good { Ok(Key { kind, name: name.to_owned() }) } else { Err(BadName) }
+    }
+    /// Reads the key of a head.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Key> {
+        let (code, name) = text.strip_prefix(HEADS)?.split_once('/')?;
+        let kind = [Kind::Release, Kind::Batch, Kind::Loan].into_iter().find(|k| k.code() == code)?;
+        Key::new(kind, name).ok()
+    }
+    /// What it is about.
+    #[must_use]
+    pub fn kind(&self) -> Kind {
+        self.kind
+    }
+    /// The name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+    /// The head's key in the state service.
+    #[must_use]
+    pub fn head(&self) -> String {
+        format!("{}{}", self.kind.prefix(), self.name)
+    }
+    /// A page's key. It names the version, so that a page that is written late never stands among those of another.
+    #[must_use]
+    pub fn page(&self, version: u64, n: usize) -> String {
+        format!("{PAGES}{}/{}/{version}/{n:05}", self.kind.code(), self.name)
+    }
+}
+
+/// How far a record has got. It only goes forward within a version.
+#[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// Members may join.
+    Open,
+    /// None may join any more; those that have are being counted.
+    Closing,
+    /// All members are on record.
+    Closed,
+}
+
+/// The head of a record.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// Grows when the record begins anew, and never goes back.
+    pub version: u64,
+    /// How far it has got.
+    pub phase: Phase,
+    /// How many pages belong to it.
+    pub pages: usize,
+    /// What it says.
+    pub body: Value,
+}
+
+/// Why a record can't be used. What rests on it is held, never guessed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unreadable {
+    /// A newer version of this program wrote it.
+    #[error("the record has form {0}, and this controller reads forms up to {FORM}")]
+    Newer(u64),
+    /// It is damaged.
+    #[error("the record can't be read: {0} is missing or wrong")]
+    Damaged(&'static str),
+}
+
+/// A change that a record does not allow.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// Within a version a record only goes forward.
+    #[error("the record is {0:?} already")]
+    Phase(Phase),
+    /// A version never goes back.
+    #[error("version {0} is on record already")]
+    Version(u64),
+}
+
+impl Record {
+    /// A record that begins.
+    #[must_use]
+    pub fn open(version: u64, body: Value) -> Record {
+        Record { version, phase: Phase::Open, pages: 0, body }
+    }
+
+    /// Reads a head.
+    ///
+    /// # Errors
+    /// If it is of a newer form, or damaged.
+    pub fn read(v: &Value) -> Result<Record, Unreadable> {
+        let number = |key: &'static str| v.get(key).and_then(Value::as_u64).ok_or(Unreadable::Damaged(key));
+        let form = number("form")?;
+        if form > FORM {
+            return Err(Unreadable::Newer(form));
+        }
+        let phase = v.get("phase").cloned().and_then(|p| serde_json::from_value(p).ok());
+        Ok(Record {
+            version: number("version")?,
+            phase: phase.ok_or(Unreadable::Damaged("phase"))?,
+            pages: usize::try_from(number("pages")?).map_err(|_| Unreadable::Damaged("pages"))?,
+            body: v.get("body").cloned().ok_or(Unreadable::Damaged("body"))?,
+        })
+    }
+
+    /// The value to be written.
+    #[must_use]
+    pub fn value(&self) -> Value {
+        json!({"form": FORM, "version": self.version, "phase": self.phase, "pages": self.pages, "body": self.body})
+    }
+
+    /// Whether `next` may follow on this record. To be asked before every write: it is what makes a decision that was once
+    /// read stay true.
+    ///
+    /// # Errors
+    /// If it would go back.
+    pub fn allows(&self, next: &Record) -> Result<(), Refused> {
+        if next.version < self.version {
+            return Err(Refused::Version(self.version));
+        }
+        if next.version == self.version && next.phase < self.phase {
+            return Err(Refused::Phase(self.phase));
+        }
+        Ok(())
+    }
+}
+
+/// Splits a list into the values of pages, none longer than `bytes`. An item that fits into no page is an error of whoever
+/// made it; it is left out and counted.
+#[must_use]
+pub fn pages(items: impl IntoIterator<Item = Value>, bytes: usize) -> (Vec<Value>, usize) {
+    const HEAD: usize = 40;
+    let mut out: Vec<Vec<Value>> = Vec::new();
+    let (mut room, mut lost) = (0usize, 0);
+    for item in items {
+        let long = item.to_string().len() + 1;
+        if long + HEAD > bytes {
+            lost += 1;
+            continue;
+        }
+        if out.is_empty() || long > room {
+            out.push(Vec::new());
+            room = bytes - HEAD;
+        }
+        room -= long;
+        if let Some(page) = out.last_mut() {
+            page.push(item);
+        }
+    }
+    (out.into_iter().map(|items| json!({"form": FORM, "items": items})).collect(), lost)
+}
+
+/// Reads a page.
+///
+/// # Errors
+/// If it is of a newer form, or damaged.
+pub fn items(v: &Value) -> Result<&[Value], Unreadable> {
+    match v.get("form").and_then(Value::as_u64) {
+        Some(form) if form > FORM => return Err(Unreadable::Newer(form)),
+        Some(_) => {}
+        None => return Err(Unreadable::Damaged("form")),
+    }
+    v.get("items").and_then(Value::as_array).map(Vec::as_slice).ok_or(Unreadable::Damaged("items"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn names_that_would_break_a_key_are_refused() {
+        for bad in ["", " ", "a b", "a/b", "a\n", &"x".repeat(NAME + 1)] {
+            assert_eq!(Key::new(Kind::Batch, bad), Err(BadName), "{bad:?}");
+        }
+        let key = Key::new(Kind::Release, "Kő-és-Kard@2026-12-01").expect("valid");
+        assert_eq!(Key::parse(&key.head()), Some(key.clone()));
+        assert!(key.page(u64::MAX, 99_999).len() <= 200);
+        assert!(!key.page(1, 0).starts_with(HEADS), "a list of heads must not hold pages");
+    }
+
+    #[test]
+    fn what_is_newer_or_damaged_is_told_apart() {
+        let v = Record::open(3, json!({"a": 1})).value();
+        assert_eq!(Record::read(&v).map(|r| r.version), Ok(3));
+        let with = |key: &str, x: Value| {
+            let mut v = v.clone();
+            v[key] = x;
+            Record::read(&v)
+        };
+        assert_eq!(with("form", json!(FORM + 1)), Err(Unreadable::Newer(FORM + 1)));
+        assert_eq!(with("phase", json!("ajar")), Err(Unreadable::Damaged("phase")));
+        assert_eq!(with("version", json!(-1)), Err(Unreadable::Damaged("version")));
+        assert_eq!(Record::read(&json!(7)), Err(Unreadable::Damaged("form")));
+    }
+
+    #[test]
+    fn a_record_only_goes_forward() {
+        let at = |version, phase| Record { version, phase, pages: 0, body: Value::Null };
+        let closed = at(2, Phase::Closed);
+        assert_eq!(closed.allows(&at(2, Phase::Closing)), Err(Refused::Phase(Phase::Closed)));
+        assert_eq!(closed.allows(&at(1, Phase::Closed)), Err(Refused::Version(2)));
+        assert_eq!(closed.allows(&at(3, Phase::Open)), Ok(()));
+    }
+
+    proptest! {
+        #[test]
+        fn pages_hold_all_items_in_order_and_fit(lens in prop::collection::vec(0usize..90, 0..200), bytes in 150usize..400) {
+            let list: Vec<Value> = lens.iter().enumerate().map(|(i, n)| json!(format!("{i}{}", "x".repeat(*n)))).collect();
+            let (values, lost) = pages(list.clone(), bytes);
+            prop_assert_eq!(lost, 0);
+            prop_assert!(values.iter().all(|v| v.to_string().len() <= bytes));
+            let back: Vec<Value> = values.iter().flat_map(|v| items(v).expect("readable").to_vec()).collect();
+            prop_assert_eq!(back, list);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pact/src/shelf.rs
@@ -0,0 +1,201 @@
+//! What one controller holds of pacts' records: each as last read, from which reading, and which to read next.
+//!
+//! A reading counts from when its question went out, not from when its answer came: whoever needs to know how things stood
+//! *after* some moment asks for a reading that began after it.
+
+use crate::record::{Key, Record, Unreadable};
+use hazelsaddle_base::units::Micros;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A record as far as it is known here.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Held {
+    /// Never read: nothing may rest on it.
+    Unread,
+    /// There is none.
+    Absent,
+    /// It can't be used; what rests on it waits.
+    Unreadable(Unreadable),
+    /// It says this.
+    Is(Record),
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    held: Held,
+    /// Version of the key in the state service.
+    mark: u64,
+    /// When the question went out whose answer this is.
+    as_of: Micros,
+    /// When the present question went out, if one is under way.
+    asked: Option<Micros>,
+    /// Not before this is it read again.
+    next: Micros,
+    /// A reading that began no earlier than this is wanted.
+    since: Micros,
+}
+
+/// Records by key.
+#[derive(Clone, Debug, Default)]
+pub struct Shelf {
+    entries: BTreeMap<Key, Entry>,
+}
+
+/// A question without an answer is asked again after so long.
+const PATIENCE: Micros = Micros::from_millis(4000);
+
+impl Shelf {
+    /// The record is of use here: it is read once, and then again every `pause` by [`Shelf::due`].
+    pub fn want(&mut self, key: &Key) {
+        self.entries.entry(key.clone()).or_insert_with(|| Entry {
+            held: Held::Unread,
+            mark: 0,
+            as_of: Micros(0),
+            asked: None,
+            next: Micros(0),
+            since: Micros(0),
+        });
+    }
+
+    /// A reading that begins no earlier than `now` is wanted, as soon as possible.
+    pub fn want_since(&mut self, key: &Key, now: Micros) {
+        self.want(key);
+        if let Some(e) = self.entries.get_mut(key) {
+            e.since = e.since.max(now);
+            e.next = Micros(0);
+        }
+    }
+
+    /// Forgets records that nobody here needs any more.
+    pub fn keep(&mut self, wanted: &BTreeSet<Key>) {
+        self.entries.retain(|k, e| wanted.contains(k) || e.asked.is_some());
+    }
+
+    /// Records to read now: those never read, those that a newer reading is wanted of, and the others every `pause`.
+    pub fn due(&mut self, now: Micros, most: usize) -> Vec<Key> {
+        let due = |e: &Entry| match e.asked {
+            // An answer may be lost; and one that began too early doesn't help who wants a newer one.
+            Some(at) => now.since(at) >= PATIENCE || (e.since > at && now >= e.next),
+            None => now >= e.next,
+        };
+        let mut list: Vec<(Micros, Key)> =
+            self.entries.iter().filter(|(_, e)| due(e)).map(|(k, e)| (e.as_of, k.clone())).collect();
+        // What was never read goes first, then what was read longest ago.
+        list.sort();
+        list.truncate(most);
+        list.into_iter().map(|(_, k)| k).collect()
+    }
+
+    /// The question goes out.
+    pub fn asked(&mut self, key: &Key, now: Micros) {
+        if let Some(e) = self.entries.get_mut(key) {
+            e.asked = Some(now);
+        }
+    }
+
+    /// The state service has answered the question of `sent`: the value and its mark, or that there is none. Returns whether
+    /// anything is new. An answer that is older than one that has come already is dropped.
+    pub fn read(&mut self, key: &Key, sent: Micros, next: Micros, row: Option<(&Value, u64)>) -> bool {
+        let Some(e) = self.entries.get_mut(key) else { return false };
+        if e.asked == Some(sent) {
+            e.asked = None;
+        }
+        let mark = row.map_or(0, |(_, m)| m);
+        if sent < e.as_of || (mark < e.mark && mark != 0) {
+            return false;
+        }
+        e.as_of = sent;
+        e.next = if e.since > sent { Micros(0) } else { next };
+        let held = match row.map(|(v, _)| Record::read(v)) {
+            None => Held::Absent,
+            Some(Ok(r)) => Held::Is(r),
+            Some(Err(why)) => Held::Unreadable(why),
+        };
+        let news = held != e.held || mark != e.mark;
+        (e.held, e.mark) = (held, mark);
+        news
+    }
+
+    /// No answer, or a refusal: asked again from `next` on.
+    pub fn failed(&mut self, key: &Key, next: Micros) {
+        if let Some(e) = self.entries.get_mut(key) {
+            (e.asked, e.next) = (None, next);
+        }
+    }
+
+    /// Our own change is on record with this mark.
+    pub fn committed(&mut self, key: &Key, sent: Micros, record: Record, mark: u64) {
+        if let Some(e) = self.entries.get_mut(key)
+            && mark > e.mark
+        {
+            (e.held, e.mark, e.as_of) = (Held::Is(record), mark, e.as_of.max(sent));
+        }
+    }
+
+    /// What it says, as far as is known.
+    #[must_use]
+    pub fn get(&self, key: &Key) -> &Held {
+        self.entries.get(key).map_or(&Held::Unread, |e| &e.held)
+    }
+
+    /// What it said in a reading that began no earlier than `since`.
+    #[must_use]
+    pub fn get_since(&self, key: &Key, since: Micros) -> Option<&Held> {
+        self.entries.get(key).filter(|e| e.held != Held::Unread && e.as_of >= since).map(|e| &e.held)
+    }
+
+    /// The mark that a change of it, or a job that joins it, is conditional on; 0: there is no record.
+    #[must_use]
+    pub fn mark(&self, key: &Key) -> u64 {
+        self.entries.get(key).map_or(0, |e| e.mark)
+    }
+
+    /// All records held, by key.
+    pub fn iter(&self) -> impl Iterator<Item = (&Key, &Held)> {
+        self.entries.iter().map(|(k, e)| (k, &e.held))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::Kind;
+    use serde_json::json;
+
+    fn at(ms: u64) -> Micros {
+        Micros::from_millis(ms)
+    }
+
+    #[test]
+    fn a_reading_counts_from_its_question_and_older_ones_are_dropped() {
+        let key = Key::new(Kind::Batch, "b").expect("valid");
+        let mut s = Shelf::default();
+        s.want(&key);
+        assert_eq!(s.due(at(10), 9), std::slice::from_ref(&key));
+        s.asked(&key, at(10));
+        assert!(s.due(at(20), 9).is_empty(), "one is under way");
+        s.want_since(&key, at(30));
+        assert_eq!(s.due(at(30), 9), std::slice::from_ref(&key), "it began too early for who asks now");
+        s.asked(&key, at(31));
+        let newer = Record::open(2, json!(null)).value();
+        assert!(s.read(&key, at(31), at(1000), Some((&newer, 7))));
+        let older = Record::open(1, json!(null)).value();
+        assert!(!s.read(&key, at(10), at(1000), Some((&older, 5))), "overtaken on the way");
+        assert!(matches!(s.get_since(&key, at(30)), Some(Held::Is(r)) if r.version == 2));
+        assert_eq!(s.get_since(&key, at(32)), None);
+        assert!(s.due(at(900), 9).is_empty() && s.due(at(1000), 9) == std::slice::from_ref(&key));
+        s.asked(&key, at(1000));
+        assert_eq!(s.due(at(1000) + PATIENCE, 9), std::slice::from_ref(&key), "no answer came");
+    }
+
+    #[test]
+    fn nothing_rests_on_what_was_never_read() {
+        let key = Key::new(Kind::Loan, "l").expect("valid");
+        let mut s = Shelf::default();
+        s.want(&key);
+        assert_eq!((s.get(&key), s.get_since(&key, at(0)), s.mark(&key)), (&Held::Unread, None, 0));
+        s.keep(&BTreeSet::new());
+        assert_eq!(s.iter().count(), 0);
+    }
+}
