While nobody can act a controller stays ready: being left out for a minute helps no user

Change: who can't act stays ready while every other controller was heard lately and none knows a newer epoch.

--- a/src/node.rs
+++ b/src/node.rs
@@ -293,9 +293,12 @@
             Event::User(ticket, r) => self.user(now, Origin::Ticket(ticket), r, out),
             Event::Ready(ticket) => {
                 let acts = self.membership.may_act(now) && self.owner.loaded;
+                // The load balancer leaves out who fails two probes for 3 s, and for twice as long each time, up to a
+                // minute. While nobody can act, being left out helps no user, and when the trouble is over all are missing.
+                let helps = acts || self.membership.can_pass(now) || self.membership.nobody_acts(now);
                 let reply = if self.handover.leaving().is_some() {
                     Reply::later("leaving")
-                } else if acts || self.membership.can_pass(now) {
+                } else if helps {
                     Reply::json(200, &json!({"ready": true}))
                 } else {
                     Reply::later("not yet able to act")
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -45,6 +45,7 @@
             self.membership.heard_from(from, f.epoch, echo);
             self.aside.echo(from, echo);
             self.membership.told(now, f.epoch, &f.members);
+            self.membership.spoke(now, from, f.epoch);
             if f.epoch > self.membership.epoch {
                 self.next_ring = self.next_ring.min(now);
             }
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -7,6 +7,9 @@
 pub use hazelsaddle_base::ring::Ring;
 use serde::{Deserialize, Serialize};
 
+/// A peer that has said nothing for longer may be gone, or the way to it.
+const LATELY: Micros = Micros::from_millis(1500);
+
 /// The record under `ring/epoch`.
 #[derive(Serialize, Deserialize, Clone, Debug, Default, PartialEq, Eq)]
 pub struct EpochRecord {
@@ -43,6 +46,8 @@
     heard: Vec<(u64, Micros)>,
     /// A newer epoch's ring, known from peers only. It says whom to ask; it gives no right to act.
     hearsay: Option<(u64, Ring, Micros)>,
+    /// Per controller: the epoch that its latest frame named, and when that came.
+    spoke: Vec<(u64, Micros)>,
     /// Since when, in this epoch, every other controller is known to have stopped acting under older ones.
     stopped_at: Option<Micros>,
     /// It has stepped aside: it leaves the ring by its own decision and acts no more.
@@ -66,6 +71,7 @@
             store_until: Micros(0),
             heard: vec![(0, Micros(0)); s.members.len()],
             hearsay: None,
+            spoke: vec![(0, Micros(0)); s.members.len()],
             stopped_at: None,
             aside: false,
         }
@@ -141,6 +147,23 @@
         }
     }
 
+    /// A peer's frame named this epoch as the one it knows.
+    pub fn spoke(&mut self, now: Micros, peer: usize, epoch: u64) {
+        if let Some(s) = self.spoke.get_mut(peer) {
+            *s = (epoch, now);
+        }
+    }
+    /// Whether no controller can act, as far as one that can't act itself may say: every other one spoke lately, and none
+    /// knows a newer epoch. One under the same epoch would confirm it to us, and then we could act too; one under an older
+    /// epoch, or none, has been restarted and is no member yet. One that is silent may be well, and we be cut off.
+    pub fn nobody_acts(&self, now: Micros) -> bool {
+        let lately = |at: Micros| at > Micros(0) && now.since(at) < LATELY;
+        self.spoke.len() > 1
+            && (0..self.spoke.len())
+                .filter(|&p| p != self.me)
+                .all(|p| lately(self.spoke[p].1) && self.spoke[p].0 <= self.epoch)
+    }
+
     /// The newest ring known, for passing things on.
     fn newest(&self) -> &Ring {
         match &self.hearsay {
@@ -150,8 +173,7 @@
     }
     /// Whether requests can be passed on to the members of a newer epoch, one of whom spoke lately.
     pub fn can_pass(&self, now: Micros) -> bool {
-        let lately = Micros::from_millis(1500);
-        self.hearsay.as_ref().is_some_and(|(e, _, at)| *e > self.epoch && now.since(*at) < lately)
+        self.hearsay.as_ref().is_some_and(|(e, _, at)| *e > self.epoch && now.since(*at) < LATELY)
     }
     /// Whom to pass a user's request to.
     pub fn pass_job_to(&self, id: &str) -> Option<usize> {
@@ -272,6 +294,21 @@
         assert!((0..50).any(|i| m.job_owner(&format!("wk-{i}")) == Some(0)), "the adopted ring is as it was");
     }
 
+    /// Seen on days of our own: while the state service was away all controllers were restarted, the load balancer took out
+    /// all three, and for up to a minute after the outage most users found none.
+    #[test]
+    fn who_can_not_act_says_so_only_while_somebody_else_may() {
+        let at = Micros::from_millis;
+        let mut m = member(0);
+        m.spoke(at(2000), 1, 0);
+        assert!(!m.nobody_acts(at(2100)), "the other may be well, and we cut off from it");
+        m.spoke(at(2000), 2, 4);
+        assert!(m.nobody_acts(at(2100)) && !m.nobody_acts(at(3600)));
+        m.spoke(at(3700), 1, 5);
+        m.spoke(at(3700), 2, 0);
+        assert!(!m.nobody_acts(at(3800)), "one knows a newer epoch: it may act");
+    }
+
     #[test]
     fn others_are_waited_for_until_they_know_the_epoch_or_must_have_stopped() {
         let at = Micros::from_millis;
