--- /dev/null
+++ b/tests/world/days/mod.rs
@@ -0,0 +1,6 @@
+//! The days that are played, by subject.
+
+mod chains;
+mod plain;
+mod takeovers;
+mod upgrade;
--- /dev/null
+++ b/tests/world/days/plain.rs
@@ -0,0 +1,110 @@
+//! Days of all troubles, at the small and at the grown size.
+
+use crate::*;
+
+#[test]
+fn a_quiet_day_finishes_every_job() {
+    let w = day(1, SMALL, 0, 300 * S);
+    assert!(w.finished().is_empty(), "{:?}", w.finished());
+    assert!(w.starts > 40);
+}
+
+#[test]
+fn the_rules_hold_and_jobs_finish_whatever_fails() {
+    for seed in seeds() {
+        let mut w = day(seed, SMALL, 250 * S, 520 * S);
+        let states = w.states();
+        assert!(w.finished().is_empty(), "seed {seed}: {:?} {:#?} {states:#?}", w.finished(), w.log);
+    }
+}
+
+/// Controllers stand still between deciding and doing while their clocks run on, for half a second up
+/// to three leases of a worker, at any step, on top of all other troubles.
+#[test]
+fn the_rules_hold_when_controllers_stand_still_between_two_steps() {
+    for seed in 500..520 {
+        let mut w = World::new(seed, SMALL);
+        w.stalls = 0.0005;
+        let w = play(seed, w, 250 * S, 300 * S, 620 * S);
+        assert!(w.log.iter().any(|l| l.contains("stands still")));
+        assert!(w.finished().is_empty(), "seed {seed}: {:?} {:#?}", w.finished(), w.log);
+    }
+}
+
+/// The state service takes it for well and its workers can't reach it: it must leave in time for them
+/// to find another home within their lease, and come back once. Seen on sanaq-forms-ops.
+#[test]
+fn a_controller_cut_from_its_workers_alone_loses_none_of_them() {
+    for (seed, hold) in (0..10).map(|seed| (seed, seed % 2 == 0)) {
+        let mut w = World::new(700 + seed, Shape { machines: 24, room: 16, ..SMALL });
+        let n = seed as usize % 3;
+        let (from, until) = (60 * S, 110 * S);
+        play_until(&mut w, from);
+        let ran_out = |w: &World| w.workers.iter().map(|w| w.session - 1).sum::<u64>();
+        let before = ran_out(&w);
+        let epoch = w.epoch();
+        w.cuts.push((End::Node(n), End::Workers, until, hold));
+        play_until(&mut w, until);
+        let lost = ran_out(&w) - before;
+        assert_eq!(w.epoch(), epoch + 1, "seed {seed}: one change on leaving");
+        assert_eq!(lost, 0, "seed {seed}: leases that ran out");
+        play_until(&mut w, until + 40 * S);
+        assert_eq!(w.epoch(), epoch + 2, "seed {seed}: one on coming back");
+    }
+}
+
+/// The owner of a new job stands still; whoever gets the submission takes it at once, and the owner
+/// runs the job when it goes on.
+#[test]
+fn a_new_job_is_accepted_while_its_owner_stands_still() {
+    let mut w = World::new(800, Shape { jobs: 0, ..SMALL });
+    play_until(&mut w, 30 * S);
+    let owner = |w: &World, id: &str| w.nodes[0].as_ref().and_then(|n| n.membership.job_owner(id));
+    let mut n = 1000;
+    let id = loop {
+        w.add_job(n);
+        let id = format!("wk-{:06}", n * 7919 % 1_000_000);
+        if owner(&w, &id) == Some(1) {
+            break id;
+        }
+        w.jobs.remove(&id);
+        n += 1;
+    };
+    let job = w.jobs.get_mut(&id).expect("added");
+    (job.next, job.mistaken) = (u64::MAX, false);
+    w.hung[1] = w.now + 4 * S;
+    w.submit_to(0, &id);
+    play_until(&mut w, 31 * S);
+    assert_eq!(w.jobs[&id].known, Known::Accepted, "within a second");
+    let boots = w.boots.clone();
+    play_until(&mut w, 150 * S);
+    assert_eq!((w.boots, w.jobs[&id].done.len()), (boots, w.jobs[&id].spec.tasks as usize));
+}
+
+/// The bar that `play` holds every day to can fail: workers refuse all starts of one class, and it is named.
+#[test]
+fn a_day_on_which_one_class_is_starved_fails() {
+    const CLASS: &str = "group-normal";
+    let mut w = World::new(1, SMALL);
+    w.starved = Some(CLASS);
+    play_until(&mut w, 300 * S);
+    let named = w.underserved();
+    assert!(named.len() == 1 && named[0].starts_with(CLASS), "{named:?}");
+    assert!(
+        std::panic::catch_unwind(|| {
+            let mut w = World::new(1, SMALL);
+            w.starved = Some(CLASS);
+            play(1, w, 0, 0, 300 * S)
+        })
+        .is_err()
+    );
+}
+
+/// Few steps, since each is checked, but hundreds of machines and thousands of tasks.
+#[test]
+fn the_rules_hold_at_the_grown_size() {
+    for seed in 300..303 {
+        let w = day(seed, GROWN, 80 * S, 240 * S);
+        assert!(w.starts > 1000, "seed {seed}: {} starts", w.starts);
+    }
+}
--- /dev/null
+++ b/tests/world/main.rs
@@ -0,0 +1,29 @@
+//! A simulated world (store, cloud, workers, users, a network that loses, delays and holds back)
+//! that drives the controllers' own code with seeded troubles and checks the rules after each step.
+
+use hazelsaddle::fleet::{CloudAnswer, CloudRequest, Listed};
+use hazelsaddle::machines::{Report, ReportedTask};
+use hazelsaddle::node::{Effect, Event, Node};
+use hazelsaddle::peer::{Message, Reply, UserRequest};
+use hazelsaddle::settings::Settings;
+use hazelsaddle::spec::{MachineType, Spec};
+use hazelsaddle::store::{Commit, StoreAnswer, StoreRequest};
+use hazelsaddle::units::Micros;
+use hazelsaddle_lab::state::State;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+
+mod days;
+mod net;
+mod outside;
+mod parts;
+mod rules;
+mod shape;
+mod troubles;
+mod users;
+mod workers;
+
+pub(crate) use parts::*;
+pub(crate) use shape::*;
+pub(crate) use troubles::*;
--- /dev/null
+++ b/tests/world/net.rs
@@ -0,0 +1,188 @@
+//! The controllers among themselves: messages that are late, held back or lost, and what they ask to be done.
+
+use super::*;
+
+impl World {
+    pub(crate) fn later(&mut self, delay: u64, what: What) {
+        self.serial += 1;
+        self.queue.insert((self.now + delay.max(1), self.serial), what);
+    }
+
+    /// When a message between two ends arrives: after a short delay, held back by a cut, or never.
+    pub(crate) fn travel(&mut self, a: End, b: End) -> Option<u64> {
+        let delay = self.rng.random_range(500..4000) + if self.rng.random_bool(0.01) { 300_000 } else { 0 };
+        let hit = |x: End, y: End| (x == a && y == b) || (x == b && y == a);
+        let cut = self.cuts.iter().find(|&&(x, y, until, _)| hit(x, y) && self.now < until).copied();
+        match cut {
+            None => Some(delay),
+            Some((_, _, until, true)) => Some(until - self.now + delay),
+            Some(_) => None,
+        }
+    }
+
+    pub(crate) fn clock(&self, n: usize) -> Micros {
+        Micros(3600 * S + ((self.now - self.started[n]) as f64 * self.drift[n]) as u64)
+    }
+
+    pub(crate) fn drive(&mut self, n: usize, event: Event) {
+        if self.now < self.hung[n] {
+            // A controller that doesn't get to run takes what arrived when it goes on.
+            let delay = self.hung[n] - self.now;
+            let boot = self.boots[n];
+            return self.later(delay, What::Node(n, boot, event));
+        }
+        let (now, wall) = (self.clock(n), Micros(self.now + 100_000 * n as u64));
+        let boot = self.boots[n];
+        let Some(node) = self.nodes[n].as_mut() else { return };
+        let mut out = Vec::new();
+        node.step(now, wall, event, &mut out);
+        node.reconcile(now, wall, &mut out);
+        if self.stalls > 0.0 && self.rng.random_bool(self.stalls) {
+            // It stands still just when all is decided, and goes on as if nothing had happened.
+            let long = self.rng.random_range(S / 2..3 * LEASE_S as u64 * S);
+            self.hung[n] = self.now + long;
+            self.log.push(format!(
+                "{:.1}: {n} stands still for {:.1}",
+                self.now as f64 / 1e6,
+                long as f64 / 1e6
+            ));
+            return self.later(long, What::Effects(n, boot, out));
+        }
+        self.effects(n, out);
+    }
+
+    pub(crate) fn effects(&mut self, n: usize, out: Vec<Effect>) {
+        let now = self.clock(n);
+        for e in out {
+            let vetted = self.nodes[n].as_mut().and_then(|node| node.vetted(now, e));
+            if let Some(e) = vetted {
+                self.effect(n, e);
+            }
+        }
+    }
+
+    pub(crate) fn effect(&mut self, n: usize, e: Effect) {
+        let boot = self.boots[n];
+        match e {
+            Effect::Reply(t, reply) => match self.tickets.remove(&t) {
+                Some(Ticket::Worker(w, seq)) => {
+                    if let Some(d) = self.travel(End::Node(n), End::Workers) {
+                        self.later(d, What::WorkerAnswer(w, seq, reply));
+                    }
+                }
+                Some(ticket @ Ticket::User(..)) => {
+                    self.tickets.insert(t, ticket);
+                    self.later(1000, What::UserAnswer(t, reply));
+                }
+                Some(Ticket::Asked) => {
+                    self.answers.insert(t, reply);
+                }
+                None => {}
+            },
+            Effect::Send(p, frame) => {
+                if self.limited[p] || self.limited[n] {
+                    let new = match &frame.body {
+                        Message::Needed(_)
+                        | Message::HandOver { .. }
+                        | Message::Taken(_)
+                        | Message::Vouch { .. }
+                        | Message::Noted(_) => true,
+                        Message::Ask { request: UserRequest::Submit(_, body), .. } => {
+                            body.contains("\"follows\":[\"") && !self.limited[n]
+                        }
+                        _ => false,
+                    };
+                    // What was meant for a process that has just been replaced is dropped on arrival; what the
+                    // first version doesn't know it doesn't say.
+                    if new && self.limited[n] {
+                        return;
+                    }
+                    if new {
+                        let to = frame.echo_boot;
+                        assert!(to != self.boots[p], "{p} can't read {:?}", frame.body);
+                        return;
+                    }
+                }
+                let bytes = frame.encode().expect("frames can be encoded");
+                let back = hazelsaddle::peer::Frame::decode(&bytes[4..]).expect("and read again");
+                let parcel = matches!(frame.body, Message::HandOver { .. } | Message::Taken(_));
+                self.parcels += usize::from(matches!(frame.body, Message::HandOver { .. }));
+                let copies = match parcel && self.unruly > 0.0 && self.rng.random_bool(self.unruly) {
+                    true => self.rng.random_range(0..3),
+                    false => 1,
+                };
+                for _ in 0..copies {
+                    let late = if copies == 1 { 0 } else { self.rng.random_range(0..12 * S) };
+                    if let Some(d) = self.travel(End::Node(n), End::Node(p)) {
+                        self.later(d + late, What::Node(p, 0, Event::Frame(Box::new(back.clone()))));
+                    }
+                }
+            }
+            Effect::Store(id, StoreRequest::Watch(prefix, after, wait), _) => {
+                let until = self.now + wait.0;
+                if self.now >= self.outage_until && self.travel(End::Node(n), End::Store).is_some() {
+                    self.watches.push((n, boot, id, prefix, after, until));
+                } else {
+                    self.later(2 * S, What::Node(n, boot, Event::Store(id, StoreAnswer::Unknown)));
+                }
+            }
+            Effect::Store(id, r, _) => match self.travel(End::Node(n), End::Store) {
+                // What takes longer than the client waits is answered as unknown, and applied late.
+                Some(d) if d < 2 * S => {
+                    let r = self.written_by(n, r);
+                    self.later(d, What::StoreApply(n, boot, id, r, true));
+                }
+                other => {
+                    let r = self.written_by(n, r);
+                    if let Some(d) = other {
+                        self.later(d, What::StoreApply(n, boot, id, r, false));
+                    }
+                    self.later(2 * S, What::Node(n, boot, Event::Store(id, StoreAnswer::Unknown)));
+                }
+            },
+            Effect::Cloud(r) => self.later(80_000, What::Cloud(n, boot, r)),
+            Effect::Probe(_) => {
+                let there = matches!(self.travel(End::Node(n), End::Workers), Some(d) if d < S);
+                self.later(S, What::Node(n, boot, Event::Probed(there)));
+            }
+        }
+    }
+
+    pub(crate) fn happen(&mut self, what: What) {
+        match what {
+            What::Node(n, boot, e) => {
+                if boot == 0 || boot == self.boots[n] {
+                    self.drive(n, e);
+                }
+            }
+            What::StoreApply(n, boot, id, r, answered) => {
+                let a = self.store_apply(r);
+                let a = self.read_by(n, a);
+                self.run_watches();
+                if answered {
+                    match self.travel(End::Store, End::Node(n)) {
+                        Some(d) if d < 2 * S => self.later(d, What::Node(n, boot, Event::Store(id, a))),
+                        _ => self.later(2 * S, What::Node(n, boot, Event::Store(id, StoreAnswer::Unknown))),
+                    }
+                }
+            }
+            What::Cloud(n, boot, r) => {
+                let a = self.cloud(&r);
+                self.later(80_000, What::Node(n, boot, Event::Cloud(r, a)));
+            }
+            What::Effects(n, boot, out) => {
+                if boot == self.boots[n] {
+                    self.effects(n, out);
+                }
+            }
+            What::WorkerAnswer(w, seq, reply) => self.worker_answer(w, seq, &reply),
+            What::UserAnswer(t, reply) => {
+                if let Some(Ticket::User(id, kind)) = self.tickets.remove(&t)
+                    && self.jobs.get(&id).is_none_or(|j| j.latest == t)
+                {
+                    self.user_answer(&id, kind, &reply);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/outside.rs
@@ -0,0 +1,147 @@
+//! Stand-ins for the state service and the cloud, and what a controller of the first form reads and writes.
+
+use super::*;
+
+impl World {
+    /// A request as a limited controller would write it.
+    pub(crate) fn written_by(&self, n: usize, mut r: StoreRequest) -> StoreRequest {
+        if let (true, StoreRequest::Commit(c)) = (self.limited[n], &mut r) {
+            for (key, value, _) in c.puts.iter_mut().filter(|p| p.0.starts_with("ring/m/")) {
+                assert!(key != "ring/m/*", "an old controller is among them");
+                value.as_object_mut().expect("a member").remove("reads");
+            }
+            // It hands a description on with all that it doesn't know.
+            for (key, value, _) in c.puts.iter_mut().filter(|p| p.0.starts_with("job/")) {
+                let spec = &mut value["spec"];
+                if let Some(name) = spec["breedsOfStall"][0].as_str().and_then(|t| t.strip_prefix("unknown "))
+                {
+                    spec["breedsOfStall"] = json!([name]);
+                    spec["follows"] = self.hidden[key].clone();
+                }
+            }
+        }
+        r
+    }
+
+    /// An answer as a limited controller would read it: it doesn't know of prerequisites, and takes the
+    /// machine types that hold a job back for any others.
+    pub(crate) fn read_by(&mut self, n: usize, mut a: StoreAnswer) -> StoreAnswer {
+        if !self.limited[n] {
+            return a;
+        }
+        let rows = match &mut a {
+            StoreAnswer::Got(row) => row.as_mut_slice(),
+            StoreAnswer::Page(rows, _) => rows.as_mut_slice(),
+            _ => &mut [],
+        };
+        for row in rows.iter_mut().filter(|r| r.key.starts_with("job/")) {
+            let spec = row.value["spec"].as_object_mut().expect("a description");
+            if let Some(follows) = spec.remove("follows") {
+                self.hidden.insert(row.key.clone(), follows);
+                let types = spec["breedsOfStall"].as_array_mut().expect("types");
+                types[0] = format!("unknown {}", types[0].as_str().expect("a name")).into();
+                assert!(types.len() == 1 && !["small", "large"].iter().any(|t| types[0] == *t));
+            }
+        }
+        a
+    }
+
+    /// Answers watches that have something to tell or have waited for long enough.
+    pub(crate) fn run_watches(&mut self) {
+        if self.now < self.outage_until {
+            return;
+        }
+        for (n, boot, id, prefix, after, until) in std::mem::take(&mut self.watches) {
+            let a = match self.store.news(&prefix, after) {
+                None if self.now < until => {
+                    self.watches.push((n, boot, id, prefix, after, until));
+                    continue;
+                }
+                None => StoreAnswer::Changes(self.store.revision, Vec::new()),
+                Some(news) => news,
+            };
+            match self.travel(End::Store, End::Node(n)) {
+                Some(d) if d < 2 * S => self.later(d, What::Node(n, boot, Event::Store(id, a))),
+                _ => self.later(4 * S, What::Node(n, boot, Event::Store(id, StoreAnswer::Unknown))),
+            }
+        }
+    }
+
+    pub(crate) fn store_apply(&mut self, r: StoreRequest) -> StoreAnswer {
+        if self.now < self.outage_until {
+            return StoreAnswer::Refused;
+        }
+        self.store.limits = if self.now >= self.limits_fall { NEXT_LIMITS } else { LIMITS };
+        if let StoreRequest::Commit(Commit { conditions, puts, drops }) = &r {
+            // Late or deposed writers are kept out by conditions: on the epoch for everything
+            // but the ring's own keys, on the record's version for jobs and teams.
+            for key in puts.iter().map(|p| &p.0).chain(drops).filter(|k| !k.starts_with("ring/")) {
+                assert!(conditions.iter().any(|c| c.0 == "ring/epoch" && c.1 > 0), "{key} without fence");
+                let own = key.starts_with("job/") || key.starts_with("team/");
+                assert!(!own || conditions.iter().any(|c| c.0 == *key), "{key} without version");
+            }
+        }
+        assert!(
+            !matches!(r, StoreRequest::Watch(..)),
+            "watches are answered when there is something to tell"
+        );
+        self.store.apply(self.now, r)
+    }
+
+    pub(crate) fn cloud(&mut self, r: &CloudRequest) -> CloudAnswer {
+        match r {
+            CloudRequest::Types => CloudAnswer::Types(types()),
+            CloudRequest::List(after) => {
+                let listed = |w: &Worker| Listed {
+                    name: w.name.clone(),
+                    kind: w.kind.clone(),
+                    zone: w.zone.clone(),
+                    spot: w.spot,
+                    state: if w.dead {
+                        "failed"
+                    } else if w.up_at > self.now {
+                        "booting"
+                    } else {
+                        "running"
+                    }
+                    .into(),
+                    age_s: (self.now - w.rented) as f64 / 1e6,
+                };
+                // The list lags: a machine may be up and running tasks before it is named.
+                let old = |w: &&Worker| !w.gone && w.name > *after && w.rented + 8 * S <= self.now;
+                CloudAnswer::Page(self.workers.iter().filter(old).map(listed).collect(), false)
+            }
+            CloudRequest::Rent(r) => {
+                if let Some(names) = self.rentals.get(&r.name) {
+                    return CloudAnswer::Rented(names.clone());
+                }
+                let here = self.workers.iter().filter(|w| !w.gone && w.zone == r.zone).count();
+                let n = (r.count as usize).min(self.shape.room.saturating_sub(here));
+                if n == 0 {
+                    return CloudAnswer::NoCapacity;
+                }
+                let names: Vec<String> = (0..n)
+                    .map(|_| {
+                        // Most boot as promised; some at once, some late, and some never.
+                        let boot = match self.rng.random_range(0..20) {
+                            0 => NEVER,
+                            1 | 2 => 1000,
+                            3 | 4 => self.rng.random_range(40 * S..90 * S),
+                            _ => self.rng.random_range(3 * S..20 * S),
+                        };
+                        self.add_worker(&r.kind, &r.zone, r.spot, boot)
+                    })
+                    .collect();
+                self.rentals.insert(r.name.clone(), names.clone());
+                CloudAnswer::Rented(names)
+            }
+            CloudRequest::Return(names) => {
+                for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
+                    w.gone = true;
+                    w.tasks.clear();
+                }
+                CloudAnswer::Returned
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/shape.rs
@@ -0,0 +1,108 @@
+//! How large a world is, and what its controllers are told.
+
+use super::*;
+
+pub(crate) const LEASE_S: f64 = 18.0;
+pub(crate) const CANCEL_S: f64 = 43.0;
+pub(crate) const ZONES: [&str; 2] = ["a", "b"];
+
+/// How large a world is.
+#[derive(Clone, Copy)]
+pub(crate) struct Shape {
+    pub(crate) machines: usize,
+    /// Machines that the cloud has in each zone.
+    pub(crate) room: usize,
+    pub(crate) teams: usize,
+    pub(crate) gang: u32,
+    pub(crate) array: u32,
+    pub(crate) jobs: u32,
+    /// Longest pause between two jobs.
+    pub(crate) pause: u64,
+    /// Longest run of a task.
+    pub(crate) run: u64,
+    /// How likely it is that a job follows others.
+    pub(crate) chained: f64,
+}
+
+pub(crate) const SMALL: Shape = Shape {
+    machines: 4,
+    room: 6,
+    teams: 2,
+    gang: 4,
+    array: 12,
+    jobs: 40,
+    pause: 8 * S,
+    run: 25 * S,
+    chained: 0.0,
+};
+/// Most jobs follow others: chains, diamonds and fans come of it by chance.
+pub(crate) const CHAINED: Shape = Shape { chained: 0.75, pause: 6 * S, ..SMALL };
+/// The grown deployments' shape: many machines, ten teams, large gangs and arrays. Tasks are short, so that
+/// what the machines can carry is done when the day is over.
+pub(crate) const GROWN: Shape = Shape {
+    machines: 240,
+    room: 150,
+    teams: 10,
+    gang: 25,
+    array: 1000,
+    jobs: 60,
+    pause: 2 * S,
+    run: 4 * S,
+    chained: 0.4,
+};
+
+pub(crate) fn limit(team: usize, shape: Shape) -> f64 {
+    // Every other team has a limit.
+    if team % 2 == 1 { 0.0 } else { 24.0 * (shape.machines / 4) as f64 / (shape.teams / 2) as f64 }
+}
+
+/// What the state service takes: bytes a value and changes a transaction.
+pub(crate) const LIMITS: (usize, usize) = (4096, 8);
+/// The same from some moment on.
+pub(crate) const NEXT_LIMITS: (usize, usize) = (2048, 4);
+
+pub(crate) fn settings(me: usize, shape: Shape, limited: bool) -> Settings {
+    // The first version doesn't know that limits will fall.
+    let next = match limited {
+        true => "",
+        false => "[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 12.0\n",
+    };
+    let seed = |i: usize| {
+        format!("[[seeds]]\nmember = \"c{i}\"\nlocation = \"a\"\naddr = \"10.0.0.{}:8081\"\n", i + 1)
+    };
+    let seeds: String = (0..3).filter(|&i| i != me).map(seed).collect();
+    let team = |i: usize| {
+        let max = limit(i, shape);
+        format!("[[settings.teams]]\nname = \"t{i}\"\ncpus = {:.1}\ncpus_max = {max:.1}\n", max / 3.0)
+    };
+    let teams: String = (0..shape.teams).map(team).collect();
+    let text = format!(
+        "member = \"c{me}\"\nlocation = \"a\"\napi_addr = \"10.0.0.{}:8080\"\nback = \"10.0.0.{}:8081\"\n{seeds}
+        [outside]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[settings]\n
+        {teams}
+        [settings.workers]\nreport_s = 3.0\nlease_s = {LEASE_S}\ngang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = {CANCEL_S}\n
+        [settings.state]\nrps = 120.0\nwrite_rps = 15.0\nvalue_kb = 4.0\ntxn_ops = 8\n{next}
+        [settings.cloud]\nrps = 5.0\nlist_lag_s = 8.0\n",
+        me + 1,
+        me + 1
+    );
+    Settings::parse("test", &text).expect("the settings are valid")
+}
+
+pub(crate) fn types() -> Vec<MachineType> {
+    let t = |name: &str, cpus: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        price: cpus,
+        spot_price: cpus / 2.0,
+        boot_s: 10.0,
+        zones: ZONES.iter().map(|z| z.to_string()).collect(),
+    };
+    vec![t("small", 4.0), t("large", 8.0)]
+}
+
+pub(crate) const S: u64 = 1_000_000;
+/// Later than any day lasts.
+pub(crate) const NEVER: u64 = 1_000_000 * S;
--- /dev/null
+++ b/tests/world/troubles.rs
@@ -0,0 +1,137 @@
+//! How a day goes on, and what fails in it.
+
+use super::*;
+
+impl World {
+    pub(crate) fn trouble(&mut self) {
+        let now = self.now;
+        let n = self.rng.random_range(0..3usize);
+        let long = self.rng.random_range(3 * S..35 * S);
+        let hold = self.rng.random_bool(0.5);
+        let kind = self.rng.random_range(0..12);
+        self.log.push(format!("{:.1}: trouble {kind} for {:.1} on {n}", now as f64 / 1e6, long as f64 / 1e6));
+        match kind {
+            0 => self.crash(n),
+            1 => (0..3).for_each(|n| self.crash(n)),
+            2 => self.outage_until = now + long,
+            3 => self.cuts.push((End::Node(n), End::Store, now + long, hold)),
+            4 => self.cuts.push((End::Node(n), End::Workers, now + long, hold)),
+            5 => self.cuts.push((End::Node(n), End::Node((n + 1) % 3), now + long, hold)),
+            6 => {
+                let w = self.rng.random_range(0..self.workers.len());
+                self.workers[w].hung_until = now + long;
+            }
+            7 => {
+                let w = self.rng.random_range(0..self.workers.len());
+                self.workers[w].dead = true;
+                self.workers[w].tasks.clear();
+            }
+            8 => self.hung[n] = now + long,
+            // Silent for long, and back; or cut from its workers again and again.
+            10 => {
+                self.cuts.push((End::Node(n), End::Store, now + 3 * long, hold));
+                self.cuts.push((End::Node(n), End::Workers, now + 3 * long, hold));
+                for p in (0..3).filter(|&p| p != n) {
+                    self.cuts.push((End::Node(n), End::Node(p), now + 3 * long, hold));
+                }
+            }
+            11 => self.cuts.push((End::Node(n), End::Workers, now + 2 * long, false)),
+            _ => {
+                self.cuts.push((End::Node(n), End::Store, now + long, hold));
+                for p in (0..3).filter(|&p| p != n) {
+                    self.cuts.push((End::Node(n), End::Node(p), now + long, hold));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn crash(&mut self, n: usize) {
+        self.nodes[n] = None;
+        self.boots[n] = 0;
+        self.back_at[n] = self.now + self.rng.random_range(3 * S..9 * S);
+    }
+
+    pub(crate) fn epoch(&self) -> u64 {
+        self.store.keys["ring/epoch"].0["epoch"].as_u64().expect("a number")
+    }
+
+    pub(crate) fn run(&mut self, troubles_until: u64, end: u64) {
+        let mut next_job = self.now;
+        let mut next_trouble = self.now + 20 * S;
+        while self.now < end {
+            // Leases last their full time again once an outage is over.
+            if self.outage_until > 0 && self.now >= self.outage_until {
+                self.outage_until = 0;
+                self.store.extend_leases(self.now);
+            }
+            for n in 0..3 {
+                if self.nodes[n].is_none() && self.now >= self.back_at[n] {
+                    self.serial += 1;
+                    self.boots[n] = self.serial;
+                    self.started[n] = self.now;
+                    self.hung[n] = 0;
+                    self.nodes[n] = Some(Node::new(settings(n, self.shape, self.limited[n]), self.serial));
+                }
+                self.drive_if_awake(n);
+            }
+            if self.now >= next_job && self.jobs.len() < self.shape.jobs as usize {
+                self.add_job(self.jobs.len() as u32 + 1);
+                next_job = self.now + self.rng.random_range(S..self.shape.pause);
+            }
+            if self.now >= next_trouble && self.now < troubles_until {
+                next_trouble = self.now + self.rng.random_range(5 * S..40 * S);
+                self.trouble();
+            }
+            self.run_users();
+            let until = self.now + 100_000;
+            while let Some((&(t, s), _)) = self.queue.first_key_value() {
+                if t > until {
+                    break;
+                }
+                let what = self.queue.remove(&(t, s)).expect("it is there");
+                self.now = self.now.max(t);
+                self.happen(what);
+                self.check();
+            }
+            self.now = until;
+            self.run_watches();
+            self.run_workers();
+            self.check();
+        }
+    }
+
+    pub(crate) fn drive_if_awake(&mut self, n: usize) {
+        if self.now >= self.hung[n] {
+            self.drive(n, Event::Tick);
+        }
+    }
+}
+
+pub(crate) fn day(seed: u64, shape: Shape, troubles_until: u64, end: u64) -> World {
+    play(seed, World::new(seed, shape), troubles_until, troubles_until, end)
+}
+
+pub(crate) fn play_until(w: &mut World, end: u64) {
+    w.run(0, end);
+}
+
+pub(crate) fn play(seed: u64, mut w: World, troubles_until: u64, stalls_until: u64, end: u64) -> World {
+    let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        w.run(troubles_until, stalls_until);
+        w.stalls = 0.0;
+        w.run(troubles_until, end);
+        assert!(w.underserved().is_empty(), "less than half served: {:?}", w.underserved());
+    }));
+    if let Err(e) = r {
+        eprintln!("seed {seed}, at {:.3} s: {:#?}", w.now as f64 / 1e6, w.log);
+        std::panic::resume_unwind(e);
+    }
+    w
+}
+
+/// The seeds to play; `WORLD_SEEDS=from..to` plays others.
+pub(crate) fn seeds() -> std::ops::Range<u64> {
+    let given = std::env::var("WORLD_SEEDS").ok();
+    let range = given.as_deref().and_then(|g| g.split_once(".."));
+    range.and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?)).unwrap_or(100..150)
+}
--- /dev/null
+++ b/tests/world/users.rs
@@ -0,0 +1,193 @@
+//! The users: what they ask and what they hold the answers to.
+
+use super::*;
+
+impl World {
+    pub(crate) fn add_job(&mut self, n: u32) {
+        let kind = ["batch", "batch", "group"][self.rng.random_range(0..3usize)];
+        let most = if kind == "group" { self.shape.gang } else { self.shape.array };
+        let tasks = self.rng.random_range(1..most);
+        let id = format!("wk-{:06}", n * 7919 % 1_000_000);
+        let team = format!("t{}", self.rng.random_range(0..self.shape.teams));
+        let rank = ["idle", "normal"][self.rng.random_range(0..2usize)];
+        let chained = self.shape.chained > 0.0 && self.rng.random_bool(self.shape.chained);
+        let follows: Vec<String> = match chained {
+            true => {
+                // Mostly late ones, whatever their state, but any will do; some named twice.
+                let ids: Vec<&String> = self.order.iter().rev().collect();
+                let some = self.rng.random_range(1..4);
+                let reach = ids.len().min(if self.rng.random_bool(0.8) { 6 } else { 40 });
+                (0..some.min(ids.len())).map(|_| ids[self.rng.random_range(0..reach)].clone()).collect()
+            }
+            false => Vec::new(),
+        };
+        self.order.push(id.clone());
+        let class = format!("{kind}-{rank}");
+        let body = json!({"uid": id, "breed": class, "herd": team, "gait": kind, "rank": rank, "strides": tasks,
+            "vcpus": self.rng.random_range(1..5) as f64, "cards": 0, "ramGb": 1.0, "tack": "img", "imageGb": 1.0,
+            "together": self.rng.random_bool(0.3), "scatter": false, "borrowed": self.rng.random_bool(0.5),
+            "rideS": 10.0, "restS": 0.0, "unsaddleS": 0.0, "dueS": null, "follows": follows});
+        let run = self.rng.random_range(3 * S..self.shape.run);
+        let mistaken = self.rng.random_bool(0.07);
+        let cancel_asked = mistaken || self.rng.random_bool(0.15);
+        let job = self.add_given(&body, run);
+        (job.mistaken, job.cancel_asked) = (mistaken, cancel_asked);
+    }
+
+    /// A job by its description, which may have fields of any kind; its tasks run for `run` microseconds. Users
+    /// submit it with the next step, unless a test puts `next` off.
+    pub(crate) fn add_given(&mut self, body: &Value, run: u64) -> &mut UserJob {
+        let body = body.to_string();
+        let spec = Spec::parse(&body).expect("a valid description");
+        let id = spec.id.clone();
+        let job = UserJob {
+            mistaken: false,
+            body,
+            spec,
+            run,
+            known: Known::Nothing,
+            cancel_asked: false,
+            cancelled_at: None,
+            accepted_at: None,
+            done: BTreeSet::new(),
+            next: self.now,
+            submitted: false,
+            latest: 0,
+        };
+        self.jobs.entry(id).insert_entry(job).into_mut()
+    }
+
+    /// All that a job needs, directly or through others.
+    pub(crate) fn needed(&self, id: &str) -> BTreeSet<&str> {
+        let mut all = BTreeSet::new();
+        let mut next: Vec<&str> = self.jobs[id].spec.follows.iter().map(String::as_str).collect();
+        while let Some(p) = next.pop() {
+            if all.insert(p) {
+                next.extend(self.jobs[p].spec.follows.iter().map(String::as_str));
+            }
+        }
+        all
+    }
+
+    pub(crate) fn run_users(&mut self) {
+        let due: Vec<String> =
+            self.jobs.iter().filter(|(_, j)| self.now >= j.next).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            let pause = self.rng.random_range(2 * S..6 * S);
+            let n = self.rng.random_range(0..3usize);
+            let cancel = self.rng.random_bool(0.3);
+            // A user names only jobs that were accepted.
+            let named = &self.jobs[&id].spec.follows;
+            let ready = named.iter().all(|p| self.jobs[p].known != Known::Nothing);
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            j.next = self.now + pause;
+            // Nothing new is asked of an old controller.
+            if !ready || (!j.spec.follows.is_empty() && self.limited[n]) {
+                continue;
+            }
+            let (kind, request) = match j.known {
+                Known::Nothing => ('s', UserRequest::Submit(id.clone(), j.body.clone())),
+                Known::Accepted if j.cancel_asked && cancel => ('w', UserRequest::Withdraw(id.clone())),
+                // A repeated submission may come at any time, even after the end.
+                Known::Done | Known::Cancelled if cancel => {
+                    ('s', UserRequest::Submit(id.clone(), j.body.clone()))
+                }
+                _ => ('q', UserRequest::Query(id.clone())),
+            };
+            j.submitted |= kind == 's';
+            self.serial += 1;
+            let ticket = self.serial;
+            j.latest = ticket;
+            self.tickets.insert(ticket, Ticket::User(id, kind));
+            self.later(1000, What::Node(n, 0, Event::User(ticket, request)));
+        }
+        // A job that nobody has submitted must not be known to anyone.
+        if self.rng.random_bool(0.02) {
+            self.serial += 1;
+            let ticket = self.serial;
+            self.tickets.insert(ticket, Ticket::User("wk-999999".into(), 'q'));
+            let n = self.rng.random_range(0..3usize);
+            self.later(1000, What::Node(n, 0, Event::User(ticket, UserRequest::Query("wk-999999".into()))));
+        }
+    }
+
+    pub(crate) fn submit_to(&mut self, n: usize, id: &str) {
+        self.serial += 1;
+        let ticket = self.serial;
+        let j = self.jobs.get_mut(id).expect("a job");
+        (j.latest, j.submitted) = (ticket, true);
+        let request = UserRequest::Submit(id.into(), j.body.clone());
+        self.tickets.insert(ticket, Ticket::User(id.into(), 's'));
+        self.later(1000, What::Node(n, 0, Event::User(ticket, request)));
+    }
+
+    /// Asks a controller and waits for its answer.
+    pub(crate) fn ask(&mut self, n: usize, request: UserRequest) -> Reply {
+        self.serial += 1;
+        let ticket = self.serial;
+        self.tickets.insert(ticket, Ticket::Asked);
+        self.later(1, What::Node(n, 0, Event::User(ticket, request)));
+        let end = self.now + 5 * S;
+        while self.now < end {
+            let next = self.now + S / 10;
+            self.run(0, next);
+            if let Some(reply) = self.answers.remove(&ticket) {
+                return reply;
+            }
+        }
+        panic!("no answer within 5 s");
+    }
+
+    pub(crate) fn user_answer(&mut self, id: &str, kind: char, r: &Reply) {
+        assert!(r.status != 400 && r.status != 422 && r.status != 409, "{id}: {r:?}");
+        if r.status == 503 {
+            assert!(r.retry_after.is_some(), "a refusal says when to come back");
+            return;
+        }
+        let body: Value = serde_json::from_str(&r.body).expect("JSON");
+        // When the last moment has come in which it may be called queued or running.
+        let needs: Vec<&UserJob> = match self.jobs.contains_key(id) {
+            true => self.needed(id).into_iter().map(|p| &self.jobs[p]).collect(),
+            false => Vec::new(),
+        };
+        let orphaned_at = needs.iter().filter_map(|p| p.cancelled_at).min();
+        let may_be_cancelled = needs.iter().any(|p| p.cancel_asked && p.known != Known::Done);
+        let (now, tells) = (self.now, self.tells_orphans);
+        let Some(j) = self.jobs.get_mut(id) else {
+            assert_ne!(r.status, 200, "invented: {body}");
+            return;
+        };
+        if r.status == 404 {
+            assert_eq!(j.known, Known::Nothing, "forgotten: {id} at {}", self.now);
+            return;
+        }
+        let stance = body["stance"].as_str().expect("a stance");
+        match stance {
+            "done" => {
+                assert_eq!(j.done.len(), j.spec.tasks as usize, "not_done: {id}");
+                assert_ne!(j.known, Known::Cancelled, "went_back: {id}");
+                j.known = Known::Done;
+            }
+            "aborted" => {
+                assert!(j.cancel_asked || may_be_cancelled, "went_back: {id} cancelled by nobody");
+                assert_ne!(j.known, Known::Done, "went_back: {id}");
+                j.known = Known::Cancelled;
+                j.cancelled_at.get_or_insert(self.now);
+            }
+            _ => {
+                assert!(kind != 'w', "a withdrawal is answered with the end: {body}");
+                assert!(
+                    j.known == Known::Nothing || j.known == Known::Accepted,
+                    "went_back: {id} was {:?}, is {stance}",
+                    j.known
+                );
+                j.known = Known::Accepted;
+                let since = *j.accepted_at.get_or_insert(now);
+                if let Some(at) = orphaned_at {
+                    let late = now > at.max(since) + (CANCEL_S * 1e6) as u64;
+                    assert!(!late || !tells, "orphaned: {id} is {stance} at {now}");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/workers.rs
@@ -0,0 +1,232 @@
+//! The workers: reports, commands, leases, gangs.
+
+use super::*;
+
+impl World {
+    pub(crate) fn worker_answer(&mut self, i: usize, seq: u64, reply: &Reply) {
+        let w = &mut self.workers[i];
+        if w.gone || w.dead || self.now < w.hung_until {
+            return;
+        }
+        let Some((number, sent)) = w.flight else { return };
+        if number != seq || self.now > sent + 4 * S {
+            return;
+        }
+        w.flight = None;
+        let body: Value = serde_json::from_str(&reply.body).expect("answers are JSON");
+        match reply.status {
+            200 => {
+                let token = body["rein"].as_u64().expect("a token");
+                if token < w.token {
+                    return;
+                }
+                w.changed |= token > w.token;
+                w.token = token;
+                w.lease_from = sent;
+                let calls = body["calls"].as_array().expect("commands").clone();
+                for c in calls {
+                    self.command(i, &c);
+                }
+            }
+            421 => {
+                let to =
+                    body["rider"].as_str().and_then(|r| r.strip_prefix('c')).and_then(|n| n.parse().ok());
+                w.target = to.unwrap_or((w.target + 1) % 3);
+                w.next = self.now + 200_000;
+            }
+            _ => {
+                w.target = (w.target + 1) % 3;
+                w.next = self.now + S;
+            }
+        }
+    }
+
+    pub(crate) fn command(&mut self, i: usize, c: &Value) {
+        let (job, index) = c["stride"].as_str().and_then(|t| t.rsplit_once('/')).expect("a task");
+        let index: u32 = index.parse().expect("a number");
+        let attempt = c["mount"].as_u64().expect("an attempt");
+        let now = self.now;
+        let at = |t: &Task| t.job == job && t.index == index && t.attempt == attempt;
+        match c["call"].as_str().expect("a command") {
+            "run" => {
+                let w = &self.workers[i];
+                if w.tasks.iter().any(at) {
+                    return;
+                }
+                let spec = &self.jobs[job].spec;
+                let busy = w.tasks.iter().any(|t| t.job == job && t.index == index);
+                let used: i64 = w
+                    .tasks
+                    .iter()
+                    .filter(|t| t.state != "ended")
+                    .map(|t| self.jobs[&t.job].spec.room.cpus)
+                    .sum();
+                let cap = if w.kind == "large" { 8000 } else { 4000 };
+                let why = if busy {
+                    Some("busy")
+                } else if used + spec.room.cpus > cap || self.starved == Some(spec.class.as_str()) {
+                    Some("no_room")
+                } else {
+                    None
+                };
+                let fetch = self.rng.random_range(S / 2..4 * S);
+                self.workers[i].tasks.push(Task {
+                    job: job.into(),
+                    index,
+                    attempt,
+                    state: if why.is_some() { "ended" } else { "pulling" },
+                    why,
+                    saved: false,
+                    until: now + fetch,
+                });
+                if why.is_none() {
+                    self.starts += 1;
+                    for p in &self.jobs[job].spec.follows {
+                        let p = &self.jobs[p];
+                        let all = p.done.len() == p.spec.tasks as usize;
+                        assert!(all, "too_early: {job}/{index} before {} at {}", p.spec.id, self.now);
+                    }
+                }
+            }
+            "kill" => {
+                if let Some(t) = self.workers[i].tasks.iter_mut().find(|t| at(t) && t.state != "ended") {
+                    t.state = "ended";
+                    t.why = Some("stopped");
+                }
+            }
+            "forget" => self.workers[i].tasks.retain(|t| !(at(t) && t.state == "ended")),
+            other => panic!("unknown command {other}"),
+        }
+        self.workers[i].changed = true;
+    }
+
+    pub(crate) fn run_workers(&mut self) {
+        let now = self.now;
+        for i in 0..self.workers.len() {
+            let w = &mut self.workers[i];
+            if w.gone || w.dead || now < w.up_at || now < w.hung_until {
+                continue;
+            }
+            if now > w.lease_from + (LEASE_S * 1e6) as u64 {
+                w.tasks.clear();
+                w.session += 1;
+                w.lease_from = now;
+                w.flight = None;
+                w.changed = true;
+            }
+            for k in 0..self.workers[i].tasks.len() {
+                let t = self.workers[i].tasks[k].clone();
+                if now < t.until {
+                    continue;
+                }
+                let job = &self.jobs[&t.job];
+                let gang = job.spec.kind == hazelsaddle::spec::Kind::Gang;
+                let (state, until, why) = match t.state {
+                    "pulling" if job.mistaken => ("ended", 0, Some("error")),
+                    "pulling" if job.done.contains(&t.index) => ("ended", 0, Some("done")),
+                    "pulling" if gang => ("waiting", now + 30 * S, None),
+                    "pulling" => ("running", now + job.run, None),
+                    "waiting" => ("ended", 0, Some("alone")),
+                    "running" => ("ended", 0, Some("done")),
+                    _ => continue,
+                };
+                if why == Some("done") {
+                    let all = job.spec.tasks;
+                    let j = self.jobs.get_mut(&t.job).expect("known");
+                    if gang {
+                        j.done.extend(0..all);
+                    } else {
+                        j.done.insert(t.index);
+                    }
+                }
+                let w = &mut self.workers[i];
+                w.tasks[k].state = state;
+                w.tasks[k].until = until;
+                w.tasks[k].why = why;
+                w.changed = true;
+            }
+            let w = &mut self.workers[i];
+            if w.flight.is_some_and(|(_, sent)| now > sent + 4 * S) {
+                w.flight = None;
+                w.target = (w.target + 1) % 3;
+                w.next = now + S;
+            }
+            if w.flight.is_none() && (now >= w.next || (w.changed && now + 2 * S >= w.next)) {
+                w.seq += 1;
+                w.changed = false;
+                w.flight = Some((w.seq, now));
+                w.next = now + 3 * S;
+                let tasks = w
+                    .tasks
+                    .iter()
+                    .map(|t| ReportedTask {
+                        task: format!("{}/{}", t.job, t.index),
+                        attempt: t.attempt,
+                        state: t.state.into(),
+                        why: t.why.map(str::to_owned),
+                        saved: Some(t.saved),
+                    })
+                    .collect();
+                let report = Report {
+                    machine: w.name.clone(),
+                    addr: String::new(),
+                    kind: w.kind.clone(),
+                    zone: w.zone.clone(),
+                    spot: w.spot,
+                    session: w.session,
+                    seq: w.seq,
+                    token: w.token,
+                    notice_s: None,
+                    tasks,
+                };
+                let (target, seq) = (w.target, w.seq);
+                self.serial += 1;
+                let ticket = self.serial;
+                self.tickets.insert(ticket, Ticket::Worker(i, seq));
+                if let Some(d) = self.travel(End::Workers, End::Node(target)) {
+                    self.later(d, What::Node(target, 0, Event::Report(ticket, report)));
+                }
+            }
+        }
+        self.run_gangs();
+    }
+
+    pub(crate) fn run_gangs(&mut self) {
+        let mut waiting: BTreeMap<(String, u64), BTreeSet<u32>> = BTreeMap::new();
+        let mut running: BTreeMap<(String, u64), BTreeSet<u32>> = BTreeMap::new();
+        for w in self.workers.iter().filter(|w| !w.gone && !w.dead && self.now >= w.hung_until) {
+            for t in &w.tasks {
+                let set = match t.state {
+                    "waiting" => &mut waiting,
+                    "running" => &mut running,
+                    _ => continue,
+                };
+                set.entry((t.job.clone(), t.attempt)).or_default().insert(t.index);
+            }
+        }
+        let now = self.now;
+        for w in self.workers.iter_mut().filter(|w| !w.gone && !w.dead && now >= w.hung_until) {
+            for t in &mut w.tasks {
+                let Some(j) = self.jobs.get(&t.job) else { continue };
+                if j.spec.kind != hazelsaddle::spec::Kind::Gang {
+                    continue;
+                }
+                let key = (t.job.clone(), t.attempt);
+                let all = j.spec.tasks as usize;
+                if t.state == "waiting" && waiting.get(&key).is_some_and(|s| s.len() == all) {
+                    t.state = "running";
+                    t.until = now + j.run;
+                    w.changed = true;
+                } else if t.state == "running"
+                    && running.get(&key).is_none_or(|s| s.len() < all)
+                    && !waiting.contains_key(&key)
+                    && j.done.is_empty()
+                {
+                    t.state = "ended";
+                    t.why = Some("peers");
+                    w.changed = true;
+                }
+            }
+        }
+    }
+}
