--- a/src/api.rs
+++ b/src/api.rs
@@ -1,6 +1,8 @@
 //! The HTTP edge: what users, workers, health probes and operators send, checked before it reaches
 //! the controller's own thread.
 
+pub mod ops;
+
 use crate::machines::Report;
 use crate::node::Event;
 use crate::peer::{Reply, UserRequest};
@@ -63,9 +65,27 @@
         "/ready" | "/status" | "/hello" | "/v1/jobs" => return no_method(),
         _ => {}
     }
+    if path.starts_with("/ops/") {
+        if let Some(id) = path.strip_prefix("/ops/why/").filter(|id| get && is_job_id(id)) {
+            return Parsed::Event(Event::User(ticket, UserRequest::Why(id.into())));
+        }
+        return match ops::parse(method, url, read_body) {
+            Ok(r) => Parsed::Event(Event::Operator(ticket, r)),
+            Err(r) => Parsed::Answer(r),
+        };
+    }
     let Some(rest) = path.strip_prefix("/v1/jobs/") else {
         return Parsed::Answer(Reply::error(404, "no such path"));
     };
+    if let Some(id) = rest.strip_suffix("/permit").filter(|id| get && is_job_id(id)) {
+        return match ops::permit(url) {
+            Some((attempt, task)) => {
+                let what = format!("{attempt}/{task}");
+                Parsed::Event(Event::User(ticket, UserRequest::Permit(id.into(), what)))
+            }
+            None => Parsed::Answer(Reply::error(400, "attempt and task must be whole numbers")),
+        };
+    }
     let (id, withdraw) = match rest.strip_suffix("/withdraw") {
         Some(id) => (id, true),
         None => (rest, false),
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,9 +1,10 @@
 //! The owner side of jobs: records, where each task stands, starts and stops, gangs, takeover.
 
+pub use follow::{Hold, says_of_record};
 pub use plan::headroom;
 
 mod blame;
-mod follow;
+pub(crate) mod follow;
 mod handover;
 mod plan;
 mod records;
@@ -96,6 +97,8 @@
     next_write: Micros,
     /// Jobs that it needs and that are not known to be done.
     waits_for: BTreeSet<String>,
+    /// What else holds it.
+    hold: Option<Hold>,
     /// When the last of those was known to be done.
     released_wall: Option<Micros>,
     /// Its priority by its own rank and its team's guarantee.
@@ -380,6 +383,7 @@
             verify: false,
             next_write: Micros(0),
             waits_for: spec.follows.iter().cloned().collect(),
+            hold: Hold::of(&spec, &raw),
             released_wall: follow::released_at(&raw),
             rank: spec.priority,
             keeps: Vec::new(),
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -12,12 +12,46 @@
 /// A controller of the first version doesn't know of prerequisites: it takes the job for one that no
 /// machine suits, so it keeps, shows and cancels it, and starts nothing.
 const HELD: &str = "(waits for other jobs)";
+/// The same for a job that is held for a pact, whether it follows others or not. Versions before form 4 would start
+/// one of the other sort as soon as all that it follows is done; this one suits no machine of theirs either.
+const HELD_FOR: &str = "(held for a pact)";
+const FOLLOWS_AFTER: &str = "followsAfter";
 /// What of a stored description is ours alone, inside the description, which the first version hands
 /// on untouched when it rewrites a record.
 const TYPES: &str = "breedsOfStall";
 const TYPES_AFTER: &str = "typesAfter";
 const FOLLOWS: &str = "follows";
 const RELEASED: &str = "releasedUs";
+/// What a released job followed, packed: its end says so too.
+const FOLLOWED: &str = "followed";
+
+/// Why nothing of a job may start, beside the jobs that it follows. Only whoever has the evidence lifts it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// A rotation whose release is not on record as complete; what it waits for.
+    Release(String),
+    /// A merge whose upstreams are not known to be fresh; what is old.
+    Batch(String),
+}
+
+impl Hold {
+    /// The hold that a job begins with.
+    pub(super) fn of(spec: &Spec, raw: &Value) -> Option<Hold> {
+        if spec.merges.is_some() {
+            // Fresh inputs must be seen anew by each owner: a newer version may have come.
+            return Some(Hold::Batch("its inputs have not been looked at yet".into()));
+        }
+        // What let a rotation go is on record for ever, so a released one needs no second look.
+        (spec.rotates() && released_at(raw).is_none())
+            .then(|| Hold::Release("its release has not been looked at yet".into()))
+    }
+    /// In words.
+    pub fn why(&self) -> &str {
+        match self {
+            Hold::Release(why) | Hold::Batch(why) => why,
+        }
+    }
+}
 
 /// Who waits for whom.
 #[derive(Debug, Default)]
@@ -59,10 +93,25 @@
 }
 
 impl Job {
-    /// Whether a job that it needs is not known to be done: nothing of it may start, and it holds no
-    /// place in any queue.
+    /// Whether a job that it needs is not known to be done, or a hold is not lifted: nothing of it may start, and
+    /// it holds no place in any queue. The one place that decides this.
     pub fn waits(&self) -> bool {
-        !self.waits_for.is_empty()
+        !self.waits_for.is_empty() || self.hold.is_some()
+    }
+    /// What holds it beside the jobs that it follows.
+    pub fn hold(&self) -> Option<&Hold> {
+        self.hold.as_ref()
+    }
+    /// All jobs that it followed, also those that are done: as its user named them.
+    pub fn followed(&self) -> Vec<String> {
+        match self.spec.follows.is_empty() {
+            false => self.spec.follows.clone(),
+            true => self.raw.get(FOLLOWED).and_then(Value::as_str).map(unpacked).unwrap_or_default(),
+        }
+    }
+    /// Its description as stored: with all that it says of pacts.
+    pub fn raw(&self) -> &Value {
+        &self.raw
     }
     /// The jobs that it waits for.
     pub fn waits_for(&self) -> impl Iterator<Item = &str> {
@@ -80,17 +129,63 @@
     Some(numbers.collect::<Option<Vec<_>>>()?.join(","))
 }
 
+/// Ids again from a packed text.
+pub(crate) fn unpacked(text: &str) -> Vec<String> {
+    text.split(',').filter(|n| !n.is_empty()).map(|n| format!("wk-{n}")).collect()
+}
+
+/// What a final record says of a job beside its end: what others may have to know of it for ever. None for jobs that
+/// name no pact and followed nobody.
+pub(super) fn says(raw: &Value) -> Option<Value> {
+    let mut says = Map::new();
+    for key in ["release", "batch", "merges"] {
+        if let Some(v) = raw.get(key) {
+            says.insert(key.into(), v.clone());
+        }
+    }
+    let followed = match raw.get(FOLLOWS) {
+        Some(ids) => packed(ids),
+        None => raw.get(FOLLOWED).and_then(Value::as_str).map(str::to_owned),
+    };
+    if let Some(text) = followed {
+        says.insert(FOLLOWS.into(), text.into());
+    }
+    if says.is_empty() {
+        return None;
+    }
+    says.insert("breed".into(), raw.get("breed").cloned().unwrap_or_default());
+    Some(Value::Object(says))
+}
+
+/// What a live job's record says of pacts, in the form of a final one's `says`; None if it says nothing.
+pub fn says_of_record(record: &Value) -> Option<Value> {
+    let spec = record.get("spec")?;
+    let mut plain = spec.clone();
+    // A waiting one is packed already.
+    for key in [FOLLOWS, FOLLOWS_AFTER] {
+        if let Some(text) = spec.get(key).and_then(Value::as_str) {
+            let map = plain.as_object_mut()?;
+            map.remove(key);
+            map.insert(FOLLOWED.into(), text.into());
+        }
+    }
+    says(&plain)
+}
+
 /// The description to be stored for a job that waits.
-pub(super) fn held(raw: &Value) -> Value {
+pub(super) fn held(raw: &Value, pact: bool) -> Value {
     let Some(map) = raw.as_object() else { return raw.clone() };
     let mut map = map.clone();
-    if let Some(types) = map.insert(TYPES.into(), json!([HELD]))
+    if let Some(types) = map.insert(TYPES.into(), json!([if pact { HELD_FOR } else { HELD }]))
         && !types.is_null()
     {
         map.insert(TYPES_AFTER.into(), types);
     }
     if let Some(text) = map.get(FOLLOWS).and_then(packed) {
-        map.insert(FOLLOWS.into(), text.into());
+        if pact {
+            map.remove(FOLLOWS);
+        }
+        map.insert(if pact { FOLLOWS_AFTER } else { FOLLOWS }.into(), text.into());
     }
     Value::Object(map)
 }
@@ -99,7 +194,9 @@
 pub(super) fn released(raw: &Value, at: Micros) -> Value {
     let Some(map) = raw.as_object() else { return raw.clone() };
     let mut map = map.clone();
-    map.remove(FOLLOWS);
+    if let Some(text) = map.remove(FOLLOWS).as_ref().and_then(packed) {
+        map.insert(FOLLOWED.into(), text.into());
+    }
     map.insert(RELEASED.into(), at.0.into());
     Value::Object(map)
 }
@@ -107,8 +204,9 @@
 /// The user's description again, from the stored one; None if that is of an unknown form.
 pub(super) fn restored(stored: &Value) -> Option<Value> {
     let map = stored.as_object()?;
-    let is_held = map.get(TYPES).and_then(|t| t.get(0)).is_some_and(|t| t == HELD);
-    if !is_held {
+    let held = map.get(TYPES).and_then(|t| t.get(0)).and_then(Value::as_str);
+    let pact = held == Some(HELD_FOR);
+    if !pact && held != Some(HELD) {
         return Some(stored.clone());
     }
     let mut map: Map<String, Value> = map.clone();
@@ -116,8 +214,13 @@
         Some(types) => map.insert(TYPES.into(), types),
         None => map.remove(TYPES),
     };
-    let ids: Vec<Value> = map.get(FOLLOWS)?.as_str()?.split(',').map(|n| format!("wk-{n}").into()).collect();
-    map.insert(FOLLOWS.into(), ids.into());
+    let ids = match pact {
+        true => map.remove(FOLLOWS_AFTER),
+        false => Some(map.remove(FOLLOWS)?),
+    };
+    if let Some(ids) = ids {
+        map.insert(FOLLOWS.into(), unpacked(ids.as_str()?).into());
+    }
     Some(Value::Object(map))
 }
 
@@ -187,7 +290,7 @@
             match end {
                 Final::Done => {
                     j.waits_for.remove(prerequisite);
-                    if j.waits_for.is_empty() {
+                    if !j.waits() {
                         j.released_wall = Some(self.wall.max(j.accepted_wall));
                         let waited = self.wall.since(j.accepted_wall).secs();
                         tracing::info!(job = %id, last = prerequisite, waited, "job waits no more");
@@ -205,6 +308,33 @@
         }
     }
 
+    /// Lifts a job's hold: whoever calls this has the evidence.
+    pub fn lift(&mut self, id: &str) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        let Some(hold) = j.hold.take() else { return };
+        if !j.waits() {
+            j.released_wall = Some(self.wall.max(j.accepted_wall));
+        }
+        let waited = self.wall.since(j.accepted_wall).secs();
+        tracing::info!(job = id, was = hold.why(), waited, "job is held no more");
+        self.replan = true;
+    }
+
+    /// Holds a job, or says anew why it is held. What of it runs goes on: whoever holds it decides about that.
+    pub fn hold(&mut self, id: &str, hold: Hold) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.hold = Some(hold);
+        }
+    }
+
+    /// Jobs that are held and not about to end.
+    pub fn held_jobs(&self) -> impl Iterator<Item = (&String, &Job, &Hold)> {
+        self.jobs
+            .iter()
+            .filter(|(_, j)| j.ending.is_none())
+            .filter_map(|(id, j)| j.hold.as_ref().map(|h| (id, j, h)))
+    }
+
     /// What our waiting jobs need of one controller's jobs, and how urgent that is. Urgency passes on
     /// through jobs that wait themselves. Guarantees don't pass on: they are a team's own.
     pub fn urges(&self, owner: usize, m: &Membership) -> Vec<(String, u8)> {
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -19,13 +19,44 @@
 
     /// The record of a job that waits for others.
     pub fn waiting_record(raw: &Value, accepted: Micros) -> Value {
-        Owner::record(&follow::held(raw), accepted, "")
+        Owner::record(&follow::held(raw, false), accepted, "")
+    }
+
+    /// The record of a job that is new.
+    pub fn new_record(raw: &Value, spec: &Spec, accepted: Micros) -> Value {
+        match (Hold::of(spec, raw).is_some(), spec.follows.is_empty()) {
+            (true, _) => Owner::record(&follow::held(raw, true), accepted, ""),
+            (_, false) => Owner::waiting_record(raw, accepted),
+            _ => Owner::record(raw, accepted, ""),
+        }
+    }
+
+    /// The longest that a job's record may become, its progress aside, and its end's: to be looked at before it is
+    /// taken, since what an end says may not be left out later.
+    pub fn longest(raw: &Value, spec: &Spec, accepted: Micros) -> usize {
+        let long = |v: Value| v.to_string().len();
+        let first = long(Owner::new_record(raw, spec, accepted));
+        if !spec.has_pact() {
+            return first;
+        }
+        let later = Owner::record(&follow::released(raw, accepted), accepted, "");
+        let end = Owner::end_record(raw, Final::Cancelled, spec.tasks);
+        first.max(long(later)).max(long(end))
+    }
+
+    /// The record of a job's end.
+    fn end_record(raw: &Value, f: Final, done: u32) -> Value {
+        let mut v = json!({"end": if f == Final::Done { "done" } else { "cancelled" }, "done": done});
+        if let Some(says) = follow::says(raw) {
+            v["says"] = says;
+        }
+        v
     }
 
     /// A live job's description as it is to be stored.
     fn stored_raw(j: &Job) -> Value {
         match (j.waits(), j.released_wall) {
-            (true, _) => follow::held(&j.raw),
+            (true, _) => follow::held(&j.raw, j.hold.is_some()),
             (false, Some(at)) => follow::released(&j.raw, at),
             (false, None) => j.raw.clone(),
         }
@@ -45,7 +76,7 @@
                     && now >= j.next_write
                 {
                     j.writing = true;
-                    let value = json!({"end": if f == Final::Done { "done" } else { "cancelled" }, "done": j.done.len()});
+                    let value = Owner::end_record(&j.raw, f, j.done.len());
                     return Some((id.clone(), RecordWrite::End(f, value), j.mark));
                 }
             } else if j.ending.is_none() && j.done.len() > j.durable.len() && now >= j.next_write {
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,9 +4,13 @@
 
 mod epochs;
 mod follow;
+mod freshness;
 mod handover;
 mod links;
+mod operate;
+mod pacts;
 mod records;
+mod release;
 mod users;
 mod witness;
 mod workers;
@@ -14,6 +18,7 @@
 use self::follow::Follow;
 use self::handover::Handover;
 pub use self::handover::LEAVING;
+use self::pacts::{PactPurpose, Pacts};
 use self::witness::Witness;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
@@ -53,6 +58,8 @@
     Report(u64, Report),
     /// A user's request, its syntax checked.
     User(u64, UserRequest),
+    /// An operator's request about releases or batches.
+    Operator(u64, crate::api::ops::OpRequest),
     /// A health probe.
     Ready(u64),
     /// An operator asks how things stand.
@@ -119,7 +126,8 @@
     ReadPage(u64, u32),
     Claim(ClaimWrite),
     ReadTeam(String),
-    NoteForms,
+    NoteForms(u64),
+    Pact(PactPurpose),
     Revision,
     Watch,
     ReadEnd(String),
@@ -145,6 +153,8 @@
     wall: Micros,
     /// Jobs that it follows and that are not yet known to have been accepted.
     unknown: BTreeSet<String>,
+    /// When it came, by the steady clock.
+    began: Micros,
 }
 
 /// A request passed to a peer.
@@ -200,6 +210,7 @@
     // Users.
     accepting: BTreeMap<String, Accepting>,
     follow: Follow,
+    pacts: Pacts,
     handover: Handover,
     witness: Witness,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
@@ -259,6 +270,7 @@
             next_team_plan: Micros(0),
             accepting: BTreeMap::new(),
             follow: Follow::default(),
+            pacts: Pacts::default(),
             handover: Handover::new(n),
             witness: Witness::new(n),
             lookups: BTreeMap::new(),
@@ -291,6 +303,7 @@
                 }
             }
             Event::User(ticket, r) => self.user(now, Origin::Ticket(ticket), r, out),
+            Event::Operator(ticket, r) => self.operator(now, ticket, r, out),
             Event::Ready(ticket) => {
                 let acts = self.membership.may_act(now) && self.owner.loaded;
                 let reply = if self.handover.leaving().is_some() {
@@ -399,6 +412,7 @@
             out.push(Effect::Cloud(r));
         }
         self.follow_loop(now, out);
+        self.pact_loop(now, out);
         self.membership.note_stopped(now);
         self.vouch(now, out);
         self.say(now, out);
@@ -444,6 +458,7 @@
             "jobs": {"live": jobs, "tasks_placed": placed, "tasks_left": left},
             "waiting": {"jobs": waiting.len(), "oldest": oldest},
             "takes_follows": self.takes_follows(),
+            "pacts": self.pact_status(),
             "suspected": {"jobs": bad_jobs, "machines": bad_machines},
             "overdue": self.fleet.overdue,
             "teams": teams,
@@ -473,9 +488,9 @@
     Some((f, v.get("done").and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok()).unwrap_or(0)))
 }
 
-/// Only the fields of a description that are read, and each job that it follows once.
+/// Only the fields of a description that are read, each job that it follows once, and the pacts that it names.
 fn trimmed(raw: &Value, spec: &Spec) -> Value {
-    const KEPT: [&str; 21] = [
+    const KEPT: [&str; 20] = [
         "uid",
         "breed",
         "herd",
@@ -496,14 +511,24 @@
         "restS",
         "unsaddleS",
         "dueS",
-        "follows",
     ];
     let Some(map) = raw.as_object() else { return Value::Null };
     let kept = map.iter().filter(|(k, _)| KEPT.contains(&k.as_str()));
     let mut kept: serde_json::Map<String, Value> = kept.map(|(k, v)| (k.clone(), v.clone())).collect();
-    match spec.follows.is_empty() {
-        true => kept.remove("follows"),
-        false => kept.insert("follows".into(), json!(spec.follows)),
-    };
+    if !spec.follows.is_empty() {
+        kept.insert("follows".into(), json!(spec.follows));
+    }
+    if let Some(r) = &spec.release {
+        let mut release = json!({"title": r.title, "stage": r.stage});
+        if let Some(night) = &r.night {
+            release["night"] = night.as_str().into();
+        }
+        kept.insert("release".into(), release);
+    }
+    for (key, batch) in [("batch", &spec.batch), ("merges", &spec.merges)] {
+        if let Some(b) = batch {
+            kept.insert(key.into(), json!({"name": b.name, "version": b.version}));
+        }
+    }
     Value::Object(kept)
 }
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -1,14 +1,17 @@
 //! Jobs that wait for others, at the edge of a controller: who may take them, checking what they name,
 //! and watching for ends.
 
+use super::pacts::Gate;
 use super::*;
 
 /// The form of peers' frames from which on jobs may follow others; `Message::Needed` came with it.
 pub(super) const FORM: u64 = 2;
 /// The newest form that this version reads; it says so in its member's value. Version 1 says nothing. Form 3 adds
-/// `Message::HandOver` and `Message::Taken`.
-pub(super) const NEWEST: u64 = 3;
-/// Says that every controller has read form 2 at one time, so that one that is merely away need not
+/// `Message::HandOver` and `Message::Taken`; form 4 pacts.
+pub(super) const NEWEST: u64 = 4;
+/// The form from which on jobs may name pacts.
+pub(super) const PACTS: u64 = 4;
+/// Says which form every controller has read at one time, so that one that is merely away need not
 /// be waited for. It lies among the members' keys, which are read anyway; the first version skips it,
 /// since it is no member's name.
 pub(super) const FORMS_KEY: &str = "ring/m/*";
@@ -40,8 +43,8 @@
     known: BTreeSet<String>,
     /// Per controller, its process and the newest form that it reads, by its member's value.
     forms: Vec<(u64, u64)>,
-    /// Whether all have read form 2 at one time, by the record of that.
-    all_once: bool,
+    /// The newest form that all have read at one time, by the record of that.
+    all_once: u64,
     noting: bool,
     /// Controllers that were last sent a list of needs that is not empty.
     sent: BTreeSet<usize>,
@@ -55,7 +58,7 @@
         f.forms = vec![(0, 0); self.settings.members.len()];
         for r in rows {
             if r.key == FORMS_KEY {
-                f.all_once |= reads(r) >= FORM;
+                f.all_once = f.all_once.max(reads(r));
             }
             let name = r.key.strip_prefix("ring/m/");
             let number = name.and_then(|n| self.settings.members.iter().position(|m| m == n));
@@ -64,27 +67,46 @@
                 self.witness.note_form(boot, reads(r));
             }
         }
-        if !f.all_once && !f.noting && f.forms.iter().all(|(_, form)| *form >= FORM) {
+        let all = f.forms.iter().map(|(_, form)| *form).min().unwrap_or(0).min(NEWEST);
+        if f.all_once < all && !f.noting && all >= FORM {
             f.noting = true;
-            tracing::info!(form = FORM, "every controller reads the new form");
-            let c = Commit {
-                puts: vec![(FORMS_KEY.into(), json!({ "reads": FORM }), None)],
-                ..Commit::default()
-            };
-            self.ask_store(Purpose::NoteForms, StoreRequest::Commit(c), out);
+            tracing::info!(form = all, "every controller reads the new form");
+            let c =
+                Commit { puts: vec![(FORMS_KEY.into(), json!({ "reads": all }), None)], ..Commit::default() };
+            self.ask_store(Purpose::NoteForms(all), StoreRequest::Commit(c), out);
         }
     }
 
-    pub(super) fn forms_noted(&mut self, done: bool) {
+    pub(super) fn forms_noted(&mut self, form: u64, done: bool) {
         self.follow.noting = false;
-        self.follow.all_once |= done;
+        if done {
+            self.follow.all_once = self.follow.all_once.max(form);
+        }
     }
 
     /// Whether jobs that wait for others may be taken: no controller of the first version is there, and
     /// none has yet to be replaced. One would run such a job at once, or take it without its list.
     pub(super) fn takes_follows(&self) -> bool {
+        self.all_read(FORM)
+    }
+
+    /// The same for jobs that name a pact: an older controller would take one without what binds it.
+    pub(super) fn takes_pacts(&self) -> bool {
+        self.all_read(PACTS)
+    }
+
+    fn all_read(&self, least: u64) -> bool {
         let f = &self.follow;
-        f.all_once && f.forms.iter().all(|(_, form)| *form == 0 || *form >= FORM)
+        f.all_once >= least && f.forms.iter().all(|(_, form)| *form == 0 || *form >= least)
+    }
+
+    /// Why a job can't be taken yet, if an older controller is in the ring.
+    pub(super) fn not_yet(&self, spec: &Spec) -> Option<Reply> {
+        if spec.has_pact() && !self.takes_pacts() {
+            return Some(Reply::later("not every controller knows of releases and batches yet"));
+        }
+        (!spec.follows.is_empty() && !self.takes_follows())
+            .then(|| Reply::later("not every controller can run jobs that follow others yet"))
     }
 
     /// Whether the process behind a peer's link reads this form: its member's value says so, and its frames
@@ -127,18 +149,22 @@
         }
     }
 
+    fn watches(&self) -> bool {
+        self.owner.watches() || self.pact_watches()
+    }
+
     /// Watches for the ends of jobs that others wait for, and reads those that no watch tells of.
     pub(super) fn follow_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
         if now < self.follow.retry || now < self.store_pause {
             return;
         }
         match self.follow.watch {
-            Watch::Off if self.owner.watches() && self.requests.take(now, 1.0, 0.1) => {
+            Watch::Off if self.watches() && self.requests.take(now, 1.0, 0.1) => {
                 self.follow.watch = Watch::Asking;
                 self.ask_store(Purpose::Revision, StoreRequest::Revision, out);
             }
             Watch::At(after, false) => {
-                if !self.owner.watches() {
+                if !self.watches() {
                     self.follow.watch = Watch::Off;
                 } else if self.requests.take(now, 1.0, 0.1) {
                     self.follow.watch = Watch::At(after, true);
@@ -164,13 +190,14 @@
             (Watch::Asking, StoreAnswer::At(revision)) => {
                 // Whatever ended before this must be read; whatever ends later will be told.
                 self.owner.unwatched();
+                self.pacts_unwatched();
                 self.follow.watch = Watch::At(revision, false);
             }
             (Watch::At(after, _), StoreAnswer::Changes(revision, written)) => {
                 self.follow.watch = Watch::At(after.max(revision), false);
                 for (key, value) in written {
                     let Some(id) = key.strip_prefix("done/") else { continue };
-                    if self.owner.is_awaited(id) {
+                    if self.owner.is_awaited(id) || self.pact_awaits(id) {
                         self.end_read(now, id, &value);
                     }
                 }
@@ -191,6 +218,7 @@
             Some((f, _)) => {
                 self.owner.note_time(self.wall);
                 self.owner.prerequisite_ended(id, f);
+                self.member_ended(id, f);
             }
             None => {
                 tracing::error!(job = %id, "unreadable final record");
@@ -236,9 +264,6 @@
         spec: &Spec,
         out: &mut Vec<Effect>,
     ) -> Result<BTreeSet<String>, Reply> {
-        if !self.takes_follows() {
-            return Err(Reply::later("not every controller can run jobs that follow others yet"));
-        }
         let unknown: BTreeSet<String> = spec.follows.iter().filter(|p| !self.is_known(p)).cloned().collect();
         if unknown.is_empty() {
             return Ok(unknown);
@@ -293,7 +318,7 @@
     }
 
     /// A submission can never be taken, unless it was taken before: only the store can tell.
-    fn refuse(&mut self, id: String, why: String, out: &mut Vec<Effect>) {
+    pub(super) fn refuse(&mut self, id: String, why: String, out: &mut Vec<Effect>) {
         if !self.accepting.contains_key(&id) {
             return;
         }
@@ -322,24 +347,36 @@
         }
     }
 
-    fn give_up(&mut self, now: Micros, id: &str, reply: Reply, out: &mut Vec<Effect>) {
+    pub(super) fn give_up(&mut self, now: Micros, id: &str, reply: Reply, out: &mut Vec<Effect>) {
         for o in self.accepting.remove(id).map(|a| a.origins).unwrap_or_default() {
             self.reply(now, o, reply.clone(), out);
         }
     }
 
-    /// Puts a checked submission on record.
+    /// Puts a checked submission on record, on condition of the pacts that it joins.
     pub(super) fn put_on_record(&mut self, now: Micros, id: String, out: &mut Vec<Effect>) {
         let Some(a) = self.accepting.get(&id) else { return };
-        if !self.membership.may_act(now) || !self.writes.take(now, 1.0, 0.0) {
-            return self.give_up(now, &id, Reply::later("overloaded"), out);
+        if !a.unknown.is_empty() {
+            return;
         }
-        let value = Owner::waiting_record(&a.raw, a.wall);
-        let c = Commit {
-            conditions: vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)],
-            puts: vec![(format!("job/{id}"), value, None)],
-            drops: Vec::new(),
+        if !self.membership.may_act(now) {
+            return self.give_up(now, &id, Reply::later("not able to act"), out);
+        }
+        let joins = match self.joins(now, &id, out) {
+            Gate::Open(joins) => joins,
+            Gate::Wait => return,
+            Gate::Later(why) => return self.give_up(now, &id, Reply::later(&why), out),
+            Gate::Never(why) => return self.refuse(id, why, out),
         };
+        if !self.writes.take(now, 1.0, 0.0) {
+            return self.give_up(now, &id, Reply::later("overloaded"), out);
+        }
+        let Some(a) = self.accepting.get(&id) else { return };
+        let value = Owner::new_record(&a.raw, &a.spec, a.wall);
+        let mut conditions = vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)];
+        conditions.extend(joins);
+        let puts = vec![(format!("job/{id}"), value, None)];
+        let c = Commit { conditions, puts, drops: Vec::new() };
         self.ask_store(Purpose::Accept(id, self.membership.epoch), StoreRequest::Commit(c), out);
     }
 }
--- /dev/null
+++ b/src/node/pacts.rs
@@ -0,0 +1,570 @@
+//! Pacts: records that bind jobs of several owners. Reading them, joining them, changing them, and finding out who
+//! joined. What a release or a batch means is the business of `release` and `freshness`.
+
+use super::*;
+use crate::jobs::says_of_record;
+use hazelsaddle_pact::census::{Census, Reading, Stands, Step};
+use hazelsaddle_pact::record::{self, Key, Record};
+use hazelsaddle_pact::shelf::{Held, Shelf};
+
+/// A record that something here waits for is read again after so long.
+pub(super) const PAUSE_HELD: Micros = Micros::from_millis(1000);
+/// A reading that failed is tried again after so long.
+const PAUSE_FAILED: Micros = Micros::from_millis(300);
+/// Heads are listed so often, a page.
+const PAUSE_LIST: Micros = Micros::from_millis(5000);
+/// A submission waits so long for a record before its user is told to come back.
+const PATIENCE: Micros = Micros::from_millis(1500);
+/// Records are forgotten that nobody has needed for so long.
+const FORGET: Micros = Micros::from_millis(10_000);
+
+/// What an acceptance rests on.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Gate {
+    /// It may be put on record on these conditions.
+    Open(Vec<(String, u64)>),
+    /// A record must be read, or changed, first; asked again in the next round.
+    Wait,
+    /// Not now.
+    Later(String),
+    /// Never, unless it was accepted before.
+    Never(String),
+}
+
+/// What a request to the state service was for.
+#[derive(Clone, Debug)]
+pub(super) enum PactPurpose {
+    Read(Key, Micros),
+    Heads(u64, Micros),
+    Change(Box<Change>),
+    /// A page that is written before the head that counts it; then the rest.
+    Page(Box<Change>),
+    Census(u64),
+    /// The end of a member that was live when it was last seen.
+    Member(u64, String),
+}
+
+/// A change of a record under way.
+#[derive(Clone, Debug)]
+pub(super) struct Change {
+    key: Key,
+    epoch: u64,
+    mark: u64,
+    next: Record,
+    /// Pages, the last first.
+    pages: Vec<Value>,
+    sent: Micros,
+    /// What an operator hears once it is on record.
+    then: Option<(u64, Reply)>,
+}
+
+/// A census' outcome: members by pact, and when it began.
+pub(super) type Members = BTreeMap<String, hazelsaddle_pact::census::Member>;
+
+/// An operator's request that is under way.
+pub(super) struct Operating {
+    pub(super) ticket: u64,
+    pub(super) request: crate::api::ops::OpRequest,
+    pub(super) began: Micros,
+}
+
+/// What this controller knows of pacts.
+#[derive(Default)]
+pub(super) struct Pacts {
+    pub(super) shelf: Shelf,
+    /// Keys under change by this process.
+    changing: BTreeSet<Key>,
+    /// Submissions that wait for a record.
+    waiting: BTreeSet<String>,
+    /// Operators' requests under way; one whose change is being written is not among them.
+    pub(super) operating: Vec<Operating>,
+    /// Tickets that a change under way answers.
+    pub(super) replying: BTreeSet<u64>,
+    listing: bool,
+    listed_after: String,
+    next_list: Micros,
+    /// When the last whole list of heads of this epoch was begun.
+    pub(super) listed: Option<Micros>,
+    list_began: Micros,
+    census: Option<(Census, Micros)>,
+    census_busy: bool,
+    census_retry: Micros,
+    /// Pacts that a census is wanted for, by head; filled anew in each round.
+    wanted: BTreeSet<String>,
+    /// The latest whole census of each pact, with when it began.
+    found: BTreeMap<String, (Micros, Members)>,
+    /// Live members whose ends matter: a watch tells of them, and those in `unread` are read.
+    awaited: BTreeSet<String>,
+    unread: BTreeSet<String>,
+    /// Records of jobs that no census could read.
+    unreadable: Vec<String>,
+    next_keep: Micros,
+    used: BTreeMap<Key, Micros>,
+}
+
+/// What a job's record says: the heads of the pacts that it joined, and how it stands.
+pub(super) fn reading(key: &str, v: &Value) -> Reading {
+    if key.starts_with(hazelsaddle_pact::census::ENDS) {
+        let (f, _) = read_end(v)?;
+        let stands = if f == Final::Done { Stands::Done } else { Stands::Cancelled };
+        return Some((v.get("says").map(joined).unwrap_or_default(), stands));
+    }
+    Owner::read_record(v)?;
+    Some((says_of_record(v).as_ref().map(joined).unwrap_or_default(), Stands::Live))
+}
+
+fn joined(says: &Value) -> Vec<(String, Value)> {
+    let text = |v: &Value, key: &str| v.get(key).and_then(Value::as_str).map(str::to_owned);
+    let mut out = Vec::new();
+    if let Some(r) = says.get("release")
+        && let (Some(title), Some(night)) = (text(r, "title"), text(r, "night"))
+        && let Some(key) = crate::spec::release_key(&title, &night)
+    {
+        out.push((key.head(), r.clone()));
+    }
+    if let Some(b) = says.get("batch")
+        && let Some(name) = text(b, "name")
+        && let Ok(key) = Key::new(record::Kind::Batch, &name)
+    {
+        out.push((key.head(), b.clone()));
+    }
+    out
+}
+
+impl Node {
+    /// A new epoch: what rests on the order of readings within the last one is begun anew. Records stay as read: they
+    /// only go forward, and every change is conditional on what is held.
+    pub(super) fn pacts_anew(&mut self) {
+        let p = &mut self.pacts;
+        (p.census, p.census_busy, p.listing) = (None, false, false);
+        (p.listed, p.next_list) = (None, Micros(0));
+        p.listed_after.clear();
+        p.found.clear();
+        p.awaited.clear();
+        p.unread.clear();
+        p.changing.clear();
+    }
+
+    /// Whether this controller does what a record needs by itself: the ring's owner of the head's key.
+    pub(super) fn keeps_pact(&self, key: &Key) -> bool {
+        self.membership.ring.owner(&key.head()) == Some(self.settings.me)
+    }
+
+    /// Whether pacts are of any concern here.
+    fn pacts_on(&self) -> bool {
+        self.takes_pacts()
+            && (self.releases_on() || self.batches_on() || self.owner.held_jobs().next().is_some())
+    }
+
+    /// What a record says, as far as is known; it is read again while anybody asks.
+    pub(super) fn pact(&mut self, now: Micros, key: &Key) -> Held {
+        self.pacts.shelf.want(key);
+        self.pacts.used.insert(key.clone(), now);
+        self.pacts.shelf.get(key).clone()
+    }
+
+    /// What a record says in a reading that began no earlier than `since`; asks for one if there is none.
+    pub(super) fn pact_since(&mut self, now: Micros, key: &Key, since: Micros) -> Option<Held> {
+        self.pacts.used.insert(key.clone(), now);
+        let held = self.pacts.shelf.get_since(key, since).cloned();
+        if held.is_none() {
+            self.pacts.shelf.want_since(key, since);
+        }
+        held
+    }
+
+    /// Whether a change of a record is under way here.
+    pub(super) fn pact_changing(&self, key: &Key) -> bool {
+        self.pacts.changing.contains(key)
+    }
+
+    /// Changes a record, on condition of the epoch and of the record as last read. Returns whether the change is
+    /// under way; what becomes of it is seen in the record. `then` is told to an operator once it is on record.
+    pub(super) fn change_pact(
+        &mut self,
+        now: Micros,
+        key: &Key,
+        mut next: Record,
+        pages: Vec<Value>,
+        then: Option<(u64, Reply)>,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        // A reading under way may bring what makes the change wrong, but its mark then fails the condition.
+        let allowed = match self.pacts.shelf.get(key) {
+            Held::Is(r) => r.allows(&next).is_ok(),
+            Held::Absent => true,
+            Held::Unread | Held::Unreadable(_) => false,
+        };
+        if !allowed
+            || !self.membership.may_act(now)
+            || now < self.store_pause
+            || self.pacts.changing.contains(key)
+            || next.value().to_string().len() > self.settings.value_bytes
+        {
+            return false;
+        }
+        let cost = (pages.len() + 1) as f64;
+        if !self.writes.take(now, cost, 0.2) {
+            return false;
+        }
+        if !pages.is_empty() {
+            next.pages = pages.len();
+        }
+        self.pacts.changing.insert(key.clone());
+        self.pacts.replying.extend(then.as_ref().map(|(ticket, _)| *ticket));
+        let mark = self.pacts.shelf.mark(key);
+        let pages = pages.into_iter().rev().collect();
+        let epoch = self.membership.epoch;
+        let c = Change { key: key.clone(), epoch, mark, next, pages, sent: now, then };
+        self.change_on(Box::new(c), out);
+        true
+    }
+
+    /// Writes the next page of a change, or its head when all pages are on record. A page of a version says the same
+    /// whoever writes it: its members are those on record, in order, so it needs no version of its own.
+    fn change_on(&mut self, mut c: Box<Change>, out: &mut Vec<Effect>) {
+        let mut commit = Commit { conditions: vec![self.fence()], ..Commit::default() };
+        match c.pages.pop() {
+            Some(page) => {
+                commit.puts.push((c.key.page(c.next.version, c.pages.len()), page, None));
+                self.ask_store(Purpose::Pact(PactPurpose::Page(c)), StoreRequest::Commit(commit), out);
+            }
+            None => {
+                commit.conditions.push((c.key.head(), c.mark));
+                commit.puts.push((c.key.head(), c.next.value(), None));
+                self.ask_store(Purpose::Pact(PactPurpose::Change(c)), StoreRequest::Commit(commit), out);
+            }
+        }
+    }
+
+    fn changed(&mut self, now: Micros, c: Change, a: StoreAnswer, out: &mut Vec<Effect>) {
+        if c.epoch == self.membership.epoch {
+            self.pacts.changing.remove(&c.key);
+        }
+        self.pacts.shelf.want(&c.key);
+        match a {
+            StoreAnswer::Committed(mark) => {
+                self.pacts.shelf.committed(&c.key, c.sent, c.next, mark);
+                if let Some((ticket, reply)) = c.then {
+                    out.push(Effect::Reply(ticket, reply));
+                }
+            }
+            a => {
+                // It may have been carried out: the record tells.
+                self.pacts.shelf.want_since(&c.key, now);
+                if let Some((ticket, _)) = c.then {
+                    let why = match a {
+                        StoreAnswer::Conflict(_) => "the record has changed meanwhile: ask again",
+                        _ => "the change could not be put on record: ask again",
+                    };
+                    out.push(Effect::Reply(ticket, Reply::later(why)));
+                }
+            }
+        }
+    }
+
+    /// The conditions on which a submission may be put on record.
+    pub(super) fn joins(&mut self, now: Micros, id: &str, out: &mut Vec<Effect>) -> Gate {
+        let Some(a) = self.accepting.get(id).filter(|a| a.spec.has_pact()) else {
+            return Gate::Open(Vec::new());
+        };
+        if now.since(a.began) >= PATIENCE {
+            return Gate::Later("a record that it names could not be read or changed in time".into());
+        }
+        let mut all = Vec::new();
+        for gate in [Node::release_gate, Node::batch_gate] {
+            match gate(self, now, id, out) {
+                Gate::Open(conditions) => all.extend(conditions),
+                Gate::Wait => {
+                    self.pacts.waiting.insert(id.to_owned());
+                    return Gate::Wait;
+                }
+                other => return other,
+            }
+        }
+        Gate::Open(all)
+    }
+
+    /// The condition that a job joins a record under, as it was read.
+    pub(super) fn join_of(&self, key: &Key) -> (String, u64) {
+        (key.head(), self.pacts.shelf.mark(key))
+    }
+
+    /// A submission met a pact that had changed: that says nothing about the job, so it is looked at anew. Says
+    /// whether it is.
+    pub(super) fn joins_again(
+        &mut self,
+        now: Micros,
+        id: &str,
+        a: &StoreAnswer,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let StoreAnswer::Conflict(keys) = a else { return false };
+        let pacts: Vec<Key> = keys.iter().filter_map(|k| Key::parse(k)).collect();
+        if pacts.is_empty() || pacts.len() < keys.len() || !self.accepting.contains_key(id) {
+            return false;
+        }
+        for key in pacts {
+            self.pacts.shelf.want_since(&key, now);
+        }
+        self.put_on_record(now, id.to_owned(), out);
+        true
+    }
+
+    // ---- Each round ----
+
+    /// Reads what is due, does what records need, and goes on with submissions and operators' requests that wait.
+    pub(super) fn pact_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        for id in std::mem::take(&mut self.pacts.waiting) {
+            self.put_on_record(now, id, out);
+        }
+        self.operate(now, out);
+        if !self.membership.may_act(now) || !self.owner.loaded || !self.pacts_on() {
+            return;
+        }
+        self.pacts.wanted.clear();
+        self.pacts.awaited.clear();
+        self.release_loop(now, out);
+        self.batch_loop(now, out);
+        if now < self.store_pause {
+            return;
+        }
+        self.list_heads(now, out);
+        self.read_due(now, out);
+        self.census_loop(now, out);
+        self.read_members(now, out);
+    }
+
+    fn read_due(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now >= self.pacts.next_keep {
+            self.pacts.next_keep = now + PAUSE_HELD;
+            self.pacts.used.retain(|_, t| now.since(*t) < FORGET);
+            let wanted: BTreeSet<Key> = self.pacts.used.keys().cloned().collect();
+            self.pacts.shelf.keep(&wanted);
+        }
+        for key in self.pacts.shelf.due(now, 4) {
+            if self.in_flight.len() >= IN_FLIGHT || !self.requests.take(now, 1.0, 0.2) {
+                break;
+            }
+            self.pacts.shelf.asked(&key, now);
+            let get = StoreRequest::Get(key.head());
+            self.ask_store(Purpose::Pact(PactPurpose::Read(key, now)), get, out);
+        }
+    }
+
+    /// All heads of releases, so that those are known that nobody here has named: a record that its keeper left in the
+    /// middle, or that another opened.
+    fn list_heads(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if self.pacts.listing || now < self.pacts.next_list || !self.requests.take(now, 1.0, 0.2) {
+            return;
+        }
+        if self.pacts.listed_after.is_empty() {
+            self.pacts.list_began = now;
+        }
+        self.pacts.listing = true;
+        let prefix = record::Kind::Release.prefix();
+        let r = StoreRequest::List(prefix, self.pacts.listed_after.clone());
+        self.ask_store(Purpose::Pact(PactPurpose::Heads(self.membership.epoch, now)), r, out);
+    }
+
+    fn heads(&mut self, now: Micros, sent: Micros, a: StoreAnswer) {
+        self.pacts.listing = false;
+        let StoreAnswer::Page(rows, more) = a else {
+            self.pacts.next_list = now + PAUSE_FAILED;
+            return;
+        };
+        self.pacts.listed_after = match rows.last() {
+            Some(last) if more => last.key.clone(),
+            _ => String::new(),
+        };
+        for row in rows {
+            let Some(key) = Key::parse(&row.key) else {
+                tracing::error!(key = %row.key, "a pact's key can't be read");
+                continue;
+            };
+            if !self.keeps_pact(&key) && *self.pacts.shelf.get(&key) == Held::Unread {
+                continue;
+            }
+            self.pacts.shelf.want(&key);
+            self.pacts.used.insert(key.clone(), now);
+            self.take_pact(&key, sent, now, Some((&row.value, row.mark)));
+        }
+        self.pacts.next_list = now + if more { Micros::from_millis(200) } else { PAUSE_LIST };
+        if !more {
+            self.pacts.listed = Some(self.pacts.list_began);
+        }
+    }
+
+    /// Takes what was read of a record.
+    fn take_pact(&mut self, key: &Key, sent: Micros, now: Micros, row: Option<(&Value, u64)>) {
+        if self.pacts.shelf.read(key, sent, now + PAUSE_HELD, row) {
+            if let Held::Unreadable(why) = self.pacts.shelf.get(key) {
+                tracing::error!(record = %key.head(), reason = %why, "what rests on this record is held");
+            }
+            self.owner.replan = true;
+        }
+    }
+
+    /// The members of a pact by a census that began no earlier than `since`, if there is one; asks for one otherwise.
+    pub(super) fn census_since(&mut self, key: &Key, since: Micros) -> Option<&Members> {
+        let head = key.head();
+        if self.pacts.found.get(&head).is_none_or(|(began, _)| *began < since) {
+            self.pacts.wanted.insert(head);
+            return None;
+        }
+        self.pacts.found.get(&head).map(|(_, members)| members)
+    }
+
+    /// Ends of these jobs matter to a record that is kept here, and none was on record when they were last seen.
+    pub(super) fn await_members(&mut self, live: impl Iterator<Item = String>) {
+        self.pacts.awaited.extend(live);
+    }
+
+    /// Whether the watch on ends must tell of this one.
+    pub(super) fn pact_awaits(&self, id: &str) -> bool {
+        self.pacts.awaited.contains(id)
+    }
+
+    /// Whether any end matters to a pact.
+    pub(super) fn pact_watches(&self) -> bool {
+        !self.pacts.awaited.is_empty()
+    }
+
+    /// The watch begins only now: what ended before it must be read.
+    pub(super) fn pacts_unwatched(&mut self) {
+        self.pacts.unread = self.pacts.awaited.clone();
+    }
+
+    /// A member's end is on record.
+    pub(super) fn member_ended(&mut self, id: &str, f: Final) {
+        self.pacts.unread.remove(id);
+        let stands = if f == Final::Done { Stands::Done } else { Stands::Cancelled };
+        for (_, members) in self.pacts.found.values_mut() {
+            if let Some(m) = members.get_mut(id) {
+                m.stands = m.stands.max(stands);
+            }
+        }
+    }
+
+    fn read_members(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        while self.in_flight.len() < IN_FLIGHT && self.requests.level(now) >= 0.3 {
+            let Some(id) = self.pacts.unread.pop_first() else { break };
+            self.requests.take(now, 1.0, 0.0);
+            let get = StoreRequest::Get(format!("done/{id}"));
+            let purpose = PactPurpose::Member(self.membership.epoch, id);
+            self.ask_store(Purpose::Pact(purpose), get, out);
+        }
+    }
+
+    fn census_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let p = &mut self.pacts;
+        if p.census.is_none() && !p.wanted.is_empty() && now >= p.census_retry {
+            p.census = Some((Census::begin(p.wanted.clone()), now));
+        }
+        let Some((census, _)) = &p.census else { return };
+        if p.census_busy || now < p.census_retry {
+            return;
+        }
+        let Step::Read(prefix, after) = census.next() else { return };
+        if !self.requests.take(now, 1.0, 0.2) {
+            return;
+        }
+        self.pacts.census_busy = true;
+        let r = StoreRequest::List(prefix.into(), after);
+        self.ask_store(Purpose::Pact(PactPurpose::Census(self.membership.epoch)), r, out);
+    }
+
+    fn census_page(&mut self, now: Micros, a: StoreAnswer) {
+        let p = &mut self.pacts;
+        p.census_busy = false;
+        let Some((census, began)) = &mut p.census else { return };
+        let StoreAnswer::Page(rows, more) = a else {
+            p.census_retry = now + PAUSE_FAILED;
+            return;
+        };
+        let Step::Read(prefix, _) = census.next() else { return };
+        let rows = rows.into_iter().map(|r| (r.key, r.value));
+        census.page(rows, more, |id, v| reading(&format!("{prefix}{id}"), v));
+        if census.next() != Step::Over {
+            return;
+        }
+        let (unreadable, began) = (census.unreadable().to_vec(), *began);
+        if !unreadable.is_empty() {
+            tracing::error!(jobs = ?unreadable, "records that can't be read: nothing closes until they can be");
+            p.census_retry = now + Micros::from_millis(5000);
+        }
+        let found: Vec<_> =
+            census.of().iter().filter_map(|pact| Some((pact.clone(), census.members(pact)?))).collect();
+        tracing::debug!(pacts = found.len(), seconds = now.since(began).secs(), "census");
+        p.found.extend(found.into_iter().map(|(pact, m)| (pact, (began, m))));
+        p.unreadable = unreadable;
+        p.census = None;
+        // Whoever ended between its page and the watch's beginning is read once.
+        p.unread.extend(p.awaited.iter().cloned());
+    }
+
+    /// Members that a census found live are read once after it, as the watch may have begun later.
+    pub(super) fn read_live(&mut self, live: impl Iterator<Item = String>) {
+        self.pacts.unread.extend(live);
+    }
+
+    /// An answer of the state service.
+    pub(super) fn pact_answer(&mut self, now: Micros, p: PactPurpose, a: StoreAnswer, out: &mut Vec<Effect>) {
+        match p {
+            PactPurpose::Read(key, sent) => match a {
+                StoreAnswer::Got(row) => {
+                    let row = row.as_ref().map(|r| (&r.value, r.mark));
+                    self.take_pact(&key, sent, now, row);
+                }
+                _ => self.pacts.shelf.failed(&key, now + PAUSE_FAILED),
+            },
+            PactPurpose::Heads(epoch, sent) if epoch == self.membership.epoch => self.heads(now, sent, a),
+            PactPurpose::Census(epoch) if epoch == self.membership.epoch => self.census_page(now, a),
+            PactPurpose::Member(epoch, id) if epoch == self.membership.epoch => match a {
+                StoreAnswer::Got(Some(row)) => match read_end(&row.value) {
+                    Some((f, _)) => self.member_ended(&id, f),
+                    None => tracing::error!(job = %id, "unreadable final record"),
+                },
+                StoreAnswer::Got(None) => {}
+                _ => {
+                    self.pacts.unread.insert(id);
+                }
+            },
+            // Of an epoch that has passed: all of this was begun anew.
+            PactPurpose::Heads(..) | PactPurpose::Census(_) | PactPurpose::Member(..) => {}
+            PactPurpose::Page(c) => match a {
+                StoreAnswer::Committed(_) if c.epoch == self.membership.epoch => self.change_on(c, out),
+                a => self.changed(
+                    now,
+                    *c,
+                    if matches!(a, StoreAnswer::Committed(_)) { StoreAnswer::Unknown } else { a },
+                    out,
+                ),
+            },
+            PactPurpose::Change(c) => self.changed(now, *c, a, out),
+        }
+    }
+
+    /// How pacts stand, for operators.
+    pub(super) fn pact_status(&self) -> Value {
+        let held: Vec<Value> =
+            self.owner.held_jobs().take(SHOWN).map(|(id, _, h)| json!({"job": id, "why": h.why()})).collect();
+        let unreadable: Vec<String> = self
+            .pacts
+            .shelf
+            .iter()
+            .filter(|(_, h)| matches!(h, Held::Unreadable(_)))
+            .map(|(k, _)| k.head())
+            .collect();
+        json!({
+            "takes": self.takes_pacts(),
+            "records": self.pacts.shelf.iter().filter(|(_, h)| matches!(h, Held::Is(_))).count(),
+            "jobs_held": self.owner.held_jobs().count(),
+            "held": held,
+            "unreadable": unreadable,
+            "jobs_unreadable": self.pacts.unreadable,
+            "census_under_way": self.pacts.census.is_some(),
+            "members_awaited": self.pacts.awaited.len(),
+        })
+    }
+}
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -12,15 +12,27 @@
         }
     }
 
+    /// Whether a peer would take a request for less than it says.
+    fn beyond(&self, peer: usize, r: &UserRequest) -> bool {
+        if self.reads(peer, follow::PACTS) {
+            return false;
+        }
+        let body = match r {
+            UserRequest::Submit(_, body) => body,
+            UserRequest::Query(_) | UserRequest::Withdraw(_) => return false,
+            // It would drop the link.
+            UserRequest::Why(_) | UserRequest::Permit(..) => return true,
+        };
+        Spec::parse(body).is_ok_and(|s| s.has_pact() || (!s.follows.is_empty() && !self.reads_new(peer)))
+    }
+
     pub(super) fn user(&mut self, now: Micros, from: Origin, r: UserRequest, out: &mut Vec<Effect>) {
         let (what, job) = (r.kind(), r.job().to_owned());
         let reply = match self.membership.pass_job_to(r.job()) {
             None => Reply::later("no ring yet"),
             Some(o) if o != self.settings.me => match from {
-                // It would take the job without the jobs that it follows.
-                _ if !self.reads_new(o) && follows(&r) => {
-                    Reply::later("not every controller can run jobs that follow others yet")
-                }
+                // It would take the job without the jobs that it follows, or the pacts that it names.
+                _ if self.beyond(o, &r) => Reply::later("not every controller can run such jobs yet"),
                 Origin::Ticket(t) if self.asked.len() < WAITING_LIMIT => {
                     return self.pass_on(now, o, Some(t), r, out);
                 }
@@ -88,7 +100,7 @@
         }
         let raw: Value = serde_json::from_str(body).unwrap_or(Value::Null);
         let Ok(spec) = Spec::from_value(&raw) else { return false };
-        if spec.check(&self.fleet.types, &self.settings.teams).is_err() {
+        if spec.check(&self.fleet.types, &self.settings.teams).is_err() || self.not_yet(&spec).is_some() {
             return false;
         }
         if let Some(reply) = self.accept(now, from, id.to_owned(), spec, raw, out) {
@@ -172,6 +184,20 @@
             self.withdrawing.entry(id).or_default().push(from);
             return None;
         }
+        match &r {
+            UserRequest::Why(_) if self.owner.jobs.contains_key(&id) => return self.why(&id),
+            UserRequest::Permit(_, what) if self.owner.jobs.contains_key(&id) => {
+                let (attempt, task) = what.split_once('/').unwrap_or_default();
+                return match (attempt.parse(), task.parse()) {
+                    (Ok(attempt), Ok(task)) => self.permit(now, from, &id, attempt, task, out),
+                    _ => Some(Reply::error(400, "attempt and task must be whole numbers")),
+                };
+            }
+            UserRequest::Permit(..) if self.owner.final_of(&id).is_some() => {
+                return Some(Reply::error(409, "the job has ended"));
+            }
+            _ => {}
+        }
         if let Some(known) = self.known(&id) {
             return Some(match r {
                 UserRequest::Withdraw(_) => {
@@ -194,7 +220,7 @@
             if self.fleet.types.is_empty() {
                 return Some(Reply::later("machine types are not known yet"));
             }
-            let open = spec.follows.is_empty() || self.takes_follows();
+            let open = self.not_yet(&spec).is_none();
             if open && spec.check(&self.fleet.types, &self.settings.teams).is_ok() {
                 return self.accept(now, from, id, spec, raw, out);
             }
@@ -226,10 +252,8 @@
         let wall = self.wall;
         // A body with superfluous fields must not make a record that the store won't take.
         let raw = trimmed(&raw, &spec);
-        let waits = !spec.follows.is_empty();
-        let value = if waits { Owner::waiting_record(&raw, wall) } else { Owner::record(&raw, wall, "") };
         let limit = self.settings.value_bytes;
-        if value.to_string().len() > limit {
+        if Owner::longest(&raw, &spec, wall) > limit {
             let why = format!("the description is too long to be kept: its record may have {limit} bytes");
             return Some(Reply::error(422, &why));
         }
@@ -237,29 +261,16 @@
             let why = format!("follows: a job may name {} others at most", follow::MOST);
             return Some(Reply::error(422, &why));
         }
-        if self.accepting.len() >= WAITING_LIMIT || (!waits && !self.writes.take(now, 1.0, 0.0)) {
+        if self.accepting.len() >= WAITING_LIMIT {
             return Some(Reply::later("overloaded"));
         }
-        if waits {
-            let unknown = match self.begin_check(now, &id, &spec, out) {
-                Ok(unknown) => unknown,
-                Err(reply) => return Some(reply),
-            };
-            let ready = unknown.is_empty();
-            self.accepting.insert(id.clone(), Accepting { origins: vec![from], spec, raw, wall, unknown });
-            if ready {
-                self.put_on_record(now, id, out);
-            }
-            return None;
-        }
-        let c = Commit {
-            conditions: vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)],
-            puts: vec![(format!("job/{id}"), value, None)],
-            drops: Vec::new(),
+        let unknown = match self.begin_check(now, &id, &spec, out) {
+            Ok(unknown) => unknown,
+            Err(reply) => return Some(reply),
         };
         self.accepting
-            .insert(id.clone(), Accepting { origins: vec![from], spec, raw, wall, unknown: BTreeSet::new() });
-        self.ask_store(Purpose::Accept(id, self.membership.epoch), StoreRequest::Commit(c), out);
+            .insert(id.clone(), Accepting { origins: vec![from], spec, raw, wall, unknown, began: now });
+        self.put_on_record(now, id, out);
         None
     }
 
@@ -271,6 +282,9 @@
         a: StoreAnswer,
         out: &mut Vec<Effect>,
     ) {
+        if self.joins_again(now, &id, &a, out) {
+            return;
+        }
         let Some(acc) = self.accepting.remove(&id) else { return };
         match a {
             StoreAnswer::Committed(mark) => {
@@ -327,14 +341,13 @@
             } else {
                 let reply = match r {
                     UserRequest::Submit(_, body) => {
+                        let spec = Spec::parse(&body);
                         let check =
-                            Spec::parse(&body).and_then(|s| s.check(&self.fleet.types, &self.settings.teams));
-                        match check {
+                            spec.and_then(|s| s.check(&self.fleet.types, &self.settings.teams).map(|()| s));
+                        match check.map(|s| self.not_yet(&s)) {
                             Err(e) => Reply::error(422, &e.to_string()),
-                            Ok(()) if !self.takes_follows() => {
-                                Reply::later("not every controller can run jobs that follow others yet")
-                            }
-                            Ok(()) => Reply::later("machine types have changed"),
+                            Ok(Some(not_yet)) => not_yet,
+                            Ok(None) => Reply::later("machine types have changed"),
                         }
                     }
                     _ => Reply::error(404, "no such job"),
@@ -400,11 +413,3 @@
         }
     }
 }
-
-/// Whether a request submits a job that follows others.
-fn follows(r: &UserRequest) -> bool {
-    match r {
-        UserRequest::Submit(_, body) => Spec::parse(body).is_ok_and(|s| !s.follows.is_empty()),
-        _ => false,
-    }
-}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -423,6 +423,11 @@
     Query(String),
     /// Withdraw.
     Withdraw(String),
+    /// From form 4 on: why it waits.
+    Why(String),
+    /// From form 4 on: whether a task's attempt may write, as `ATTEMPT/TASK`. Text, so that the older kinds keep
+    /// their layout.
+    Permit(String, String),
 }
 
 impl UserRequest {
@@ -432,12 +437,18 @@
             UserRequest::Submit(..) => "submit",
             UserRequest::Query(_) => "query",
             UserRequest::Withdraw(_) => "withdraw",
+            UserRequest::Why(_) => "why",
+            UserRequest::Permit(..) => "permit",
         }
     }
     /// The job it is about.
     pub fn job(&self) -> &str {
         match self {
-            UserRequest::Submit(id, _) | UserRequest::Query(id) | UserRequest::Withdraw(id) => id,
+            UserRequest::Submit(id, _)
+            | UserRequest::Query(id)
+            | UserRequest::Withdraw(id)
+            | UserRequest::Why(id)
+            | UserRequest::Permit(id, _) => id,
         }
     }
 }
--- a/src/spec.rs
+++ b/src/spec.rs
@@ -2,6 +2,7 @@
 
 use crate::settings::TeamSettings;
 use crate::units::{Micros, Room};
+use hazelsaddle_pact::record::{self, Key};
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::collections::BTreeMap;
@@ -66,6 +67,74 @@
     pub deadline: Option<Micros>,
     /// Jobs that must be done before any of its tasks starts: in order, each once.
     pub follows: Vec<String>,
+    /// The release that it belongs to.
+    pub release: Option<Release>,
+    /// The batch and version that it is a run of.
+    pub batch: Option<Batch>,
+    /// The batch and version that it may merge.
+    pub merges: Option<Batch>,
+}
+
+/// What a job does for a release.
+#[derive(Deserialize, serde::Serialize, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "lowercase")]
+pub enum Stage {
+    /// Rebuilds what renders are made of.
+    Rebuild,
+    /// Renders.
+    Render,
+    /// Shows the new; waits for all the others.
+    Rotation,
+}
+
+impl Stage {
+    /// Its name on the wire.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Stage::Rebuild => "rebuild",
+            Stage::Render => "render",
+            Stage::Rotation => "rotation",
+        }
+    }
+}
+
+/// A job's part in a release.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Release {
+    /// The title.
+    pub title: String,
+    /// The night, `YYYY-MM-DD`; None: the one that is open. A job on record always names one.
+    pub night: Option<String>,
+    /// What it does.
+    pub stage: Stage,
+}
+
+impl Release {
+    /// The key of the release's record, once the night is known.
+    pub fn key(&self) -> Option<Key> {
+        release_key(&self.title, self.night.as_deref()?)
+    }
+}
+
+/// The key of a release's record.
+pub fn release_key(title: &str, night: &str) -> Option<Key> {
+    Key::new(record::Kind::Release, &format!("{title}@{night}")).ok()
+}
+
+/// A batch and a version of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// The batch.
+    pub name: String,
+    /// Its version.
+    pub version: u64,
+}
+
+impl Batch {
+    /// The key of the batch's record.
+    pub fn key(&self) -> Option<Key> {
+        Key::new(record::Kind::Batch, &self.name).ok()
+    }
 }
 
 /// A machine type, as the cloud lists it.
@@ -128,6 +197,13 @@
         .is_some_and(|n| (1..=18).contains(&n.len()) && n.bytes().all(|b| b.is_ascii_digit()))
 }
 
+/// Whether this has the form of a date; whether there is such a day is the calendar's business.
+pub fn is_night(text: &str) -> bool {
+    let b = text.as_bytes();
+    b.len() == 10
+        && b.iter().enumerate().all(|(i, c)| if i == 4 || i == 7 { *c == b'-' } else { c.is_ascii_digit() })
+}
+
 struct Fields<'a>(&'a Map<String, Value>);
 
 impl Fields<'_> {
@@ -150,6 +226,41 @@
         }
         Ok(x)
     }
+    fn release(&self) -> Result<Option<Release>, SpecError> {
+        let Some(v) = self.get("release") else { return Ok(None) };
+        let wrong = |why| SpecError::Field("release", why);
+        let map = v.as_object().ok_or(wrong("must be an object"))?;
+        let title = map.get("title").and_then(Value::as_str).ok_or(wrong("title must be a string"))?;
+        let stage = map.get("stage").cloned().and_then(|s| serde_json::from_value(s).ok());
+        let stage = stage.ok_or(wrong("stage must be rebuild, render or rotation"))?;
+        let night = match map.get("night").filter(|n| !n.is_null()) {
+            None => None,
+            Some(n) => {
+                let night = n.as_str().filter(|n| is_night(n));
+                Some(night.ok_or(wrong("night must be a date, YYYY-MM-DD"))?.to_owned())
+            }
+        };
+        // The key holds the night too, which may not be known yet.
+        let key = release_key(title, night.as_deref().unwrap_or("0000-00-00"));
+        if title.is_empty() || key.is_none() {
+            return Err(wrong(
+                "title must be short, and have neither spaces, slashes nor control characters",
+            ));
+        }
+        Ok(Some(Release { title: title.to_owned(), night, stage }))
+    }
+    fn batch(&self, key: &'static str) -> Result<Option<Batch>, SpecError> {
+        let Some(v) = self.get(key) else { return Ok(None) };
+        let wrong = |why| SpecError::Field(key, why);
+        let map = v.as_object().ok_or(wrong("must be an object"))?;
+        let name = map.get("name").and_then(Value::as_str).ok_or(wrong("name must be a string"))?;
+        let version = map.get("version").and_then(Value::as_u64);
+        let version = version.ok_or(wrong("version must be a whole number"))?;
+        if Key::new(record::Kind::Batch, name).is_err() {
+            return Err(wrong("name must be short, and have neither spaces, slashes nor control characters"));
+        }
+        Ok(Some(Batch { name: name.to_owned(), version }))
+    }
     fn flag(&self, key: &'static str) -> Result<bool, SpecError> {
         let v = self.get(key).ok_or(SpecError::Field(key, "is missing"))?;
         v.as_bool().ok_or(SpecError::Field(key, "must be true or false"))
@@ -216,6 +327,9 @@
         follows.dedup();
         Ok(Spec {
             follows,
+            release: f.release()?,
+            batch: f.batch("batch")?,
+            merges: f.batch("merges")?,
             id,
             class: f.text("breed")?,
             team: f.text("herd")?,
@@ -243,6 +357,16 @@
         self.priority % GUARANTEED >= 2 && self.checkpoint == Micros(0) && self.kind != Kind::Service
     }
 
+    /// Whether it names a pact: such jobs are taken only while every controller knows of pacts.
+    pub fn has_pact(&self) -> bool {
+        self.release.is_some() || self.batch.is_some() || self.merges.is_some()
+    }
+
+    /// Whether it is a rotation, which waits for its release.
+    pub fn rotates(&self) -> bool {
+        self.release.as_ref().is_some_and(|r| r.stage == Stage::Rotation)
+    }
+
     /// Whether the job can ever run here.
     pub fn check(&self, types: &Types, teams: &[TeamSettings]) -> Result<(), SpecError> {
         let never = |why: String| Err(SpecError::Impossible(why));
@@ -308,6 +432,39 @@
         }
     }
 
+    #[test]
+    fn malformed_pacts_are_named() {
+        let with = |key: &str, v: Value| {
+            let mut b = body();
+            b[key] = v;
+            Spec::from_value(&b)
+        };
+        let long = "x".repeat(120);
+        for (key, wrong) in [
+            ("release", json!("tonight")),
+            ("release", json!({"title": "t"})),
+            ("release", json!({"title": "t", "stage": "dance"})),
+            ("release", json!({"title": "a b", "stage": "render"})),
+            ("release", json!({"title": "", "stage": "render"})),
+            ("release", json!({"title": long, "stage": "render"})),
+            ("release", json!({"title": "t", "stage": "render", "night": "1-12-2026"})),
+            ("release", json!({"title": "t", "stage": "render", "night": 7})),
+            ("batch", json!({"name": "b"})),
+            ("batch", json!({"name": "b", "version": -1})),
+            ("batch", json!({"name": "b/c", "version": 1})),
+            ("merges", json!({"name": "", "version": 1})),
+            ("merges", json!([])),
+        ] {
+            let e = with(key, wrong.clone()).expect_err("malformed").to_string();
+            assert!(e.starts_with(&format!("{key}: ")), "{wrong}: {e}");
+        }
+        let s = with("release", json!({"title": "t", "stage": "rotation", "night": "2026-12-01"}))
+            .expect("valid");
+        assert!(s.rotates() && s.has_pact());
+        assert_eq!(s.release.and_then(|r| r.key()).map(|k| k.head()), Some("pact/r/t@2026-12-01".into()));
+        assert!(with("batch", Value::Null).is_ok_and(|s| !s.has_pact()));
+    }
+
     #[test]
     fn jobs_that_can_never_run_are_told_so() {
         let g8 = MachineType {
--- a/tests/compat.rs
+++ b/tests/compat.rs
@@ -243,6 +243,15 @@
     }
 }
 
+#[test]
+fn requests_of_the_fourth_form_survive_the_trip() {
+    let id = || "wk-000412".to_owned();
+    for request in [UserRequest::Why(id()), UserRequest::Permit(id(), "117440514/3".into())] {
+        let f = frame(Message::Ask { id: 9, request });
+        assert_eq!(Frame::decode(&f.encode().expect("encoded")[4..]), Some(f));
+    }
+}
+
 #[test]
 fn values_that_production_stored_are_read_and_written_alike() {
     let all = fixtures();
@@ -294,6 +303,48 @@
     );
 }
 
+/// A job that is held for a pact suits no machine of any older version, not even when all that it follows is done;
+/// what they hand on is whole, and its end says what others have to know.
+#[test]
+fn a_held_record_is_kept_and_not_started_by_older_versions() {
+    let mut with = body();
+    with["release"] = json!({"title": "t", "night": "2026-12-01", "stage": "rotation"});
+    for follows in [Value::Null, json!(["wk-000398", "wk-405"])] {
+        with["follows"] = follows.clone();
+        let spec = Spec::from_value(&with).expect("valid");
+        let record = Owner::new_record(&with, &spec, Micros(5));
+        let types = &record["spec"]["breedsOfStall"];
+        assert!(types.as_array().is_some_and(|t| t.len() == 1) && types[0] != "(waits for other jobs)");
+        assert!(
+            record["spec"].get("follows").is_none_or(Value::is_null),
+            "nothing for which they would let it go"
+        );
+        let (raw, spec, ..) = Owner::read_record(&record).expect("readable");
+        assert_eq!(
+            (raw["breedsOfStall"].clone(), spec.follows.len()),
+            (with["breedsOfStall"].clone(), follows.as_array().map_or(0, Vec::len))
+        );
+        let mut owner = Owner::new(&settings(4.0));
+        owner.insert(raw, spec, Micros(5), Ranges::default(), 1, true);
+        for p in ["wk-000398", "wk-405"] {
+            owner.prerequisite_ended(p, Final::Done);
+        }
+        assert!(owner.jobs["wk-000412"].waits(), "the release holds it still");
+        owner.lift("wk-000412");
+        assert!(!owner.jobs["wk-000412"].waits());
+        owner.jobs.get_mut("wk-000412").expect("live").ending = Some(Final::Done);
+        let Some((_, RecordWrite::End(_, end), _)) = owner.next_write(Micros(1), true) else {
+            panic!("no end")
+        };
+        assert_eq!(end["says"]["release"], with["release"]);
+        assert_eq!(end["says"]["breed"], with["breed"]);
+        let packed = if follows.is_null() { Value::Null } else { "000398,405".into() };
+        assert_eq!(end["says"]["follows"], packed);
+        assert_eq!(hazelsaddle::jobs::says_of_record(&record), Some(end["says"].clone()));
+        assert_eq!(hazelsaddle::node::read_end(&end), Some((Final::Done, 0)));
+    }
+}
+
 /// Values from before the limits fell are longer than what may be written now.
 #[test]
 fn long_values_from_before_are_read_and_never_written_at_that_length() {
