--- /dev/null
+++ b/crates/release/src/says.rs
@@ -0,0 +1,157 @@
+//! What a job says of a release, and the key of its record.
+
+use crate::calendar::{Stage, date_of, nearest};
+use hazelsaddle_pact::record::{Key, Kind};
+use serde_json::{Map, Value};
+
+/// Longest title, in bytes.
+pub const TITLE: usize = 100;
+/// Most renders that a rebuild may declare: as many as a job may have tasks.
+const MOST: u64 = 100_000;
+
+/// The member `release` of a submission.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Says {
+    /// The title.
+    pub title: String,
+    /// The night; None: the one that is open.
+    pub night: Option<String>,
+    /// What the job does for it.
+    pub stage: Stage,
+    /// A rebuild: how many renders it will be followed by.
+    pub expects: Option<u64>,
+}
+
+/// A member that is malformed: answered with 400.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("release{}{field}: {reason}", if field.is_empty() { "" } else { "." })]
+pub struct SaysError {
+    /// The field.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl Says {
+    /// Reads the member.
+    ///
+    /// # Errors
+    /// If it is malformed.
+    pub fn parse(v: &Value) -> Result<Says, SaysError> {
+        let bad = |field: &'static str, reason: &str| SaysError { field, reason: reason.to_owned() };
+        let map = v.as_object().ok_or_else(|| bad("", "must be an object"))?;
+        let text = |key: &'static str| match map.get(key).filter(|v| !v.is_null()) {
+            None => Ok(None),
+            Some(v) => v.as_str().map(Some).ok_or_else(|| bad(key, "must be a string")),
+        };
+        let title = text("title")?.ok_or_else(|| bad("title", "is missing"))?.to_owned();
+        if !is_title(&title) {
+            return Err(bad(
+                "title",
+                "must have 1 to 100 bytes, and neither spaces, slashes, @ nor control characters",
+            ));
+        }
+        let night = text("night")?.map(str::to_owned);
+        if let Some(n) = &night {
+            date_of(n).map_err(|r| bad("night", &r))?;
+        }
+        let word = text("stage")?.ok_or_else(|| bad("stage", "is missing"))?;
+        let stage = Stage::parse(word).ok_or_else(|| {
+            let like = nearest(word, Stage::ALL.map(Stage::word)).unwrap_or("render");
+            bad("stage", &format!("{word:?} is none of rebuild, render and rotation; the nearest is {like}"))
+        })?;
+        let expects = match map.get("expects").filter(|v| !v.is_null()) {
+            None => None,
+            Some(_) if stage != Stage::Rebuild => return Err(bad("expects", "is for rebuilds only")),
+            Some(v) => Some(
+                v.as_u64()
+                    .filter(|n| (1..=MOST).contains(n))
+                    .ok_or_else(|| bad("expects", "must be a whole number of renders, 1 to 100000"))?,
+            ),
+        };
+        Ok(Says { title, night, stage, expects })
+    }
+
+    /// The member again, as the job's record and its final record keep it.
+    #[must_use]
+    pub fn value(&self) -> Value {
+        let mut map = Map::new();
+        map.insert("title".into(), self.title.clone().into());
+        if let Some(n) = &self.night {
+            map.insert("night".into(), n.clone().into());
+        }
+        map.insert("stage".into(), self.stage.word().into());
+        if let Some(n) = self.expects {
+            map.insert("expects".into(), n.into());
+        }
+        Value::Object(map)
+    }
+
+    /// The key of the record that it joins, once its night is known.
+    #[must_use]
+    pub fn key(&self) -> Option<Key> {
+        key(&self.title, self.night.as_deref()?)
+    }
+}
+
+/// Whether this may be a title.
+#[must_use]
+pub fn is_title(title: &str) -> bool {
+    let bad = |c: char| c.is_whitespace() || c.is_control() || c == '/' || c == '@';
+    (1..=TITLE).contains(&title.len()) && !title.chars().any(bad)
+}
+
+/// The key of a title's record for a night.
+#[must_use]
+pub fn key(title: &str, night: &str) -> Option<Key> {
+    let good = is_title(title) && date_of(night).is_ok();
+    good.then(|| Key::new(Kind::Release, &format!("{title}@{night}")).ok()).flatten()
+}
+
+/// Title and night of a record, from its key.
+#[must_use]
+pub fn named(key: &Key) -> Option<(&str, &str)> {
+    key.name()
+        .rsplit_once('@')
+        .filter(|(t, n)| key.kind() == Kind::Release && is_title(t) && date_of(n).is_ok())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn what_a_job_says_is_read_and_kept_and_errors_name_the_field() {
+        let v = json!({"title": "boldog", "night": "2026-12-01", "stage": "rebuild", "expects": 40});
+        let s = Says::parse(&v).expect("valid");
+        assert_eq!(s.value(), v);
+        let key = s.key().expect("a key");
+        assert_eq!(
+            (key.head().as_str(), named(&key)),
+            ("pact/r/boldog@2026-12-01", Some(("boldog", "2026-12-01")))
+        );
+        assert_eq!(
+            Says::parse(&json!({"title": "t", "stage": "render", "night": null})).expect("valid").night,
+            None
+        );
+        for (v, named) in [
+            (json!(7), "release: must"),
+            (json!({"stage": "render"}), "release.title: is missing"),
+            (json!({"title": "a/b", "stage": "render"}), "release.title: must"),
+            (json!({"title": "a@b", "stage": "render"}), "release.title: must"),
+            (json!({"title": 1, "stage": "render"}), "release.title: must be a string"),
+            (
+                json!({"title": "t", "stage": "rendr"}),
+                "release.stage: \"rendr\" is none of rebuild, render and rotation; the nearest is render",
+            ),
+            (json!({"title": "t", "stage": "render", "night": "2026-12-1"}), "release.night: "),
+            (json!({"title": "t", "stage": "render", "night": "2026-02-30"}), "release.night: "),
+            (json!({"title": "t", "stage": "render", "expects": 4}), "release.expects: is for rebuilds"),
+            (json!({"title": "t", "stage": "rebuild", "expects": 0}), "release.expects: must"),
+        ] {
+            let e = Says::parse(&v).expect_err(named).to_string();
+            assert!(e.starts_with(named), "{e}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/release/src/stagger.rs
@@ -0,0 +1,44 @@
+//! What jobs inherit from the rotation that waits for them: its urgency, and its deadline. So the renders of the title due
+//! first go first.
+
+use crate::set::Release;
+use std::cmp::Reverse;
+
+/// How much a job is wanted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pull {
+    /// Higher goes first.
+    pub urgency: u8,
+    /// When it should be done, in microseconds since 1970.
+    pub due: Option<u64>,
+}
+
+impl Pull {
+    /// Both wants at once: the higher urgency, and the earlier time.
+    #[must_use]
+    pub fn and(self, other: Pull) -> Pull {
+        let due = match (self.due, other.due) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        Pull { urgency: self.urgency.max(other.urgency), due }
+    }
+
+    /// The order of two jobs: the one that sorts first goes first.
+    #[must_use]
+    pub fn order(self) -> (Reverse<u8>, u64) {
+        (Reverse(self.urgency), self.due.unwrap_or(u64::MAX))
+    }
+}
+
+/// What a set's rebuilds and renders inherit: the urgency of its most urgent rotation that still waits, and the set's own times. Nothing
+/// once it has rotated. A rotation's own deadline counts if it is earlier.
+#[must_use]
+pub fn of_set(set: &Release, rotations: impl IntoIterator<Item = Pull>) -> Option<Pull> {
+    if set.rotated {
+        return None;
+    }
+    // A reopened set has no time of its own but the rotation's.
+    let due = if set.by_hand { set.due_us } else { set.renders_us.min(set.due_us) };
+    Some(rotations.into_iter().fold(Pull { urgency: 0, due: Some(due) }, Pull::and))
+}
--- /dev/null
+++ b/crates/release/src/verdict.rs
@@ -0,0 +1,173 @@
+//! What a rotation waits for.
+
+use crate::calendar::Stage;
+use crate::set::{MISSING, Member, Release, counted, rotated};
+use hazelsaddle_pact::record::{Phase, Record};
+use hazelsaddle_pact::shelf::Held;
+use serde::Serialize;
+use std::fmt;
+
+/// What is known of a member, from records alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fact {
+    /// It is not finished.
+    Live,
+    /// It is not finished, and failed on several machines.
+    Suspected,
+    /// Its end is on record: done.
+    Done,
+    /// Its end is on record: cancelled.
+    Cancelled,
+    /// Its record was not read yet.
+    Unread,
+    /// Its record can't be read.
+    Unreadable,
+}
+
+/// One thing that a rotation waits for.
+#[derive(Serialize, Clone, Debug, PartialEq, Eq)]
+#[serde(tag = "cause", rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Cause {
+    /// The set's record was not read yet.
+    Unread,
+    /// Nothing has joined: there is no set.
+    NotOpened,
+    /// The set's record can't be read.
+    Unreadable { why: String },
+    /// Members may still join.
+    NotClosed { renders_us: u64, by_hand: bool },
+    /// Closed; the members are being counted.
+    Counting,
+    /// The list of members was not read yet, or can't be.
+    Pages,
+    /// Fewer renders than were declared.
+    Missing { declared: u64, missing: u64 },
+    /// No render at all: there is no bundle to take into the shops.
+    NoRender,
+    /// A member is not finished.
+    Live { job: String, stage: Stage },
+    /// A member failed on several machines.
+    Suspected { job: String, stage: Stage },
+    /// A member was cancelled.
+    Cancelled { job: String, stage: Stage },
+    /// A member's record was not read yet.
+    JobUnread { job: String, stage: Stage },
+    /// A member's record can't be read.
+    JobUnreadable { job: String, stage: Stage },
+}
+
+impl Cause {
+    /// The job, if it is one.
+    #[must_use]
+    pub fn job(&self) -> Option<&str> {
+        match self {
+            Cause::Live { job, .. }
+            | Cause::Suspected { job, .. }
+            | Cause::Cancelled { job, .. }
+            | Cause::JobUnread { job, .. }
+            | Cause::JobUnreadable { job, .. } => Some(job),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cause::Unread => f.write_str("the set's record is not read yet"),
+            Cause::NotOpened => f.write_str("no render has joined yet"),
+            Cause::Unreadable { why } => write!(f, "{why}"),
+            Cause::NotClosed { by_hand: true, .. } => {
+                f.write_str("the set was reopened: an operator closes it")
+            }
+            Cause::NotClosed { .. } => f.write_str("the set is not closed: renders may still join"),
+            Cause::Counting => f.write_str("the set is closed, its members are being counted"),
+            Cause::Pages => f.write_str("the list of members is not read yet"),
+            Cause::Missing { declared, missing } => {
+                write!(
+                    f,
+                    "{missing} of {declared} declared renders are missing (waive {MISSING} to do without)"
+                )
+            }
+            Cause::NoRender => write!(f, "no render is part of it (waive {MISSING} to do without)"),
+            Cause::Live { job, stage } => write!(f, "{stage} {job} is not finished"),
+            Cause::Suspected { job, stage } => write!(f, "{stage} {job} failed on several machines"),
+            Cause::Cancelled { job, stage } => write!(f, "{stage} {job} was cancelled"),
+            Cause::JobUnread { job, stage } => write!(f, "{stage} {job}: its record is not read yet"),
+            Cause::JobUnreadable { job, stage } => write!(f, "{stage} {job}: its record can't be read"),
+        }
+    }
+}
+
+/// Whether a rotation of a set may start.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Yes, and that is on record. It never changes.
+    Open,
+    /// It may, once this is on record, written on condition of the record's mark. Nothing starts before.
+    Ready(Record),
+    /// Not yet.
+    Held {
+        /// What it waits for; never empty.
+        why: Vec<Cause>,
+    },
+}
+
+/// What a rotation waits for. `members`: all of a closed set, from its pages; of one that is not closed those known so far,
+/// which are shown and decide nothing. `fact` must come from records.
+#[must_use]
+pub fn verdict(held: &Held, members: Option<&[Member]>, fact: impl Fn(&str) -> Fact) -> Verdict {
+    let one = |c| Verdict::Held { why: vec![c] };
+    let record = match held {
+        Held::Unread => return one(Cause::Unread),
+        Held::Absent => return one(Cause::NotOpened),
+        Held::Unreadable(why) => return one(Cause::Unreadable { why: why.to_string() }),
+        Held::Is(record) => record,
+    };
+    let body = match Release::read(record) {
+        Ok(body) => body,
+        Err(why) => return one(Cause::Unreadable { why: why.to_string() }),
+    };
+    if body.rotated {
+        return Verdict::Open;
+    }
+    let mut why = Vec::new();
+    match record.phase {
+        Phase::Open => why.push(Cause::NotClosed { renders_us: body.renders_us, by_hand: body.by_hand }),
+        Phase::Closing => why.push(Cause::Counting),
+        Phase::Closed if members.is_none() => why.push(Cause::Pages),
+        Phase::Closed => {}
+    }
+    let members = members.unwrap_or_default();
+    why.extend(members.iter().filter(|m| !body.waived.contains_key(&m.id)).filter_map(|m| {
+        let (job, stage) = (m.id.clone(), m.stage);
+        match fact(&m.id) {
+            Fact::Done => None,
+            Fact::Live => Some(Cause::Live { job, stage }),
+            Fact::Suspected => Some(Cause::Suspected { job, stage }),
+            Fact::Cancelled => Some(Cause::Cancelled { job, stage }),
+            Fact::Unread => Some(Cause::JobUnread { job, stage }),
+            Fact::Unreadable => Some(Cause::JobUnreadable { job, stage }),
+        }
+    }));
+    if record.phase == Phase::Closed && !why.contains(&Cause::Pages) && !body.waived.contains_key(MISSING) {
+        // A render that was cancelled is not there, also if the rotation does without it: it may have been sent anew, and
+        // then it would stand for another one that never came.
+        let (declared, renders) = counted(members.iter().filter(|m| fact(&m.id) != Fact::Cancelled));
+        let declared = declared.unwrap_or(0);
+        if declared > renders {
+            why.push(Cause::Missing { declared, missing: declared - renders });
+        } else if renders == 0 {
+            // Yesterday's bundles would go out again.
+            why.push(Cause::NoRender);
+        }
+    }
+    if !why.is_empty() {
+        return Verdict::Held { why };
+    }
+    match rotated(record) {
+        Ok(next) => Verdict::Ready(next),
+        Err(e) => one(Cause::Unreadable { why: e.to_string() }),
+    }
+}
