Releases in the daemon: joined by the record's mark, closed, counted, rotated on record

A rotation must wait until every render and rebuild of its title is on record.

The gate resolves a night and joins under the record's mark; the keeper by the ring closes by time or count and counts by a census that began after the closing was read; a held rotation's owner writes that it rotates before it starts anything. Operators show, list, close, waive and reopen on any controller. Members inherit a rotation's urgency.

--- a/src/api.rs
+++ b/src/api.rs
@@ -55,7 +55,7 @@
                 Err(r) => Parsed::Answer(r),
                 Ok(body) => match Spec::parse(&body) {
                     Ok(s) => Parsed::Event(Event::User(ticket, UserRequest::Submit(s.id, body))),
-                    Err(e @ (SpecError::Field(..) | SpecError::Body(_))) => {
+                    Err(e @ (SpecError::Field(..) | SpecError::Member(_) | SpecError::Body(_))) => {
                         Parsed::Answer(Reply::error(400, &e.to_string()))
                     }
                     Err(e) => Parsed::Answer(Reply::error(422, &e.to_string())),
--- a/src/api/ops.rs
+++ b/src/api/ops.rs
@@ -1,6 +1,8 @@
 //! What operators ask of releases and batches: paths below `/ops/`, and a merge's question whether it may write.
 
 use crate::peer::Reply;
+use hazelsaddle_release::calendar::date_of;
+use hazelsaddle_release::set::MISSING;
 use serde::Deserialize;
 
 /// Longest body of an operator's request.
@@ -19,8 +21,8 @@
     Close(String, Option<String>),
     /// Open one again that was closed.
     Reopen(String, Option<String>),
-    /// Wait for a job no longer: the job, and why.
-    Waive(String, String),
+    /// Do without a job, or without the renders that are missing: the release, the job, and why.
+    Waive(String, Option<String>, String, String),
     /// All batches.
     Batches,
     /// One batch.
@@ -37,6 +39,9 @@
 }
 #[derive(Deserialize)]
 struct Waive {
+    title: String,
+    #[serde(default)]
+    night: Option<String>,
     job: String,
     why: String,
 }
@@ -86,7 +91,7 @@
         serde_json::from_str(&text?).map_err(|e| Reply::error(400, &e.to_string()))
     }
     let night_of = |r: Release| match r.night {
-        Some(n) if !crate::spec::is_night(&n) => Err(Reply::error(400, "night must be a date, YYYY-MM-DD")),
+        Some(n) if date_of(&n).is_err() => Err(Reply::error(400, "night must be a date, YYYY-MM-DD")),
         n => Ok((r.title, n)),
     };
     let bad = || Reply::error(400, "the path can't be read");
@@ -106,13 +111,14 @@
         }
         ("POST", ("releases", "waive")) => {
             let w: Waive = read(read_body(LIMIT))?;
-            if !crate::spec::is_job_id(&w.job) {
-                return Err(Reply::error(400, "job: must be wk- and digits"));
+            if !crate::spec::is_job_id(&w.job) && w.job != MISSING {
+                return Err(Reply::error(400, "job: must be wk- and digits, or missing"));
             }
             if w.why.trim().is_empty() || w.why.len() > WHY {
                 return Err(Reply::error(400, "why: must have 1 to 200 bytes"));
             }
-            Ok(OpRequest::Waive(w.job, w.why))
+            let (title, night) = night_of(Release { title: w.title, night: w.night })?;
+            Ok(OpRequest::Waive(title, night, w.job, w.why))
         }
         ("GET", ("batches", "")) => Ok(OpRequest::Batches),
         ("GET", ("batches", name)) => decoded(name).map(OpRequest::Batch).ok_or_else(bad),
@@ -148,10 +154,10 @@
         assert_eq!(told("GET", "/ops/releases", ""), Ok(OpRequest::Releases));
         let close = r#"{"title":"t","night":"2026-12-01"}"#;
         assert_eq!(told("POST", "/ops/releases/close", close), Ok(OpRequest::Close("t".into(), night)));
-        let waive = r#"{"job":"wk-1","why":"known"}"#;
+        let waive = r#"{"title":"t","job":"wk-1","why":"known"}"#;
         assert_eq!(
             told("POST", "/ops/releases/waive", waive),
-            Ok(OpRequest::Waive("wk-1".into(), "known".into()))
+            Ok(OpRequest::Waive("t".into(), None, "wk-1".into(), "known".into()))
         );
         assert_eq!(
             told("POST", "/ops/batches", r#"{"name":"b","version":7}"#),
@@ -160,8 +166,8 @@
         for (method, url, body, status) in [
             ("POST", "/ops/releases/close", r#"{"title":"t","night":"x"}"#, 400),
             ("POST", "/ops/releases/close", "{}", 400),
-            ("POST", "/ops/releases/waive", r#"{"job":"7","why":"x"}"#, 400),
-            ("POST", "/ops/releases/waive", r#"{"job":"wk-7","why":" "}"#, 400),
+            ("POST", "/ops/releases/waive", r#"{"title":"t","job":"7","why":"x"}"#, 400),
+            ("POST", "/ops/releases/waive", r#"{"title":"t","job":"wk-7","why":" "}"#, 400),
             ("POST", "/ops/batches", r#"{"name":"b","version":-7}"#, 400),
             ("GET", "/ops/releases/%zz", "", 400),
             ("DELETE", "/ops/releases", "", 405),
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -62,6 +62,8 @@
     unread: BTreeSet<String>,
     /// Per controller, the jobs of ours that its waiting jobs need, and how urgent those are.
     urged: BTreeMap<usize, BTreeMap<String, u8>>,
+    /// Jobs that our held rotations wait for, and how urgent those are.
+    for_releases: BTreeMap<String, u8>,
 }
 
 impl Waiting {
@@ -339,14 +341,23 @@
     /// through jobs that wait themselves. Guarantees don't pass on: they are a team's own.
     pub fn urges(&self, owner: usize, m: &Membership) -> Vec<(String, u8)> {
         let theirs = self.waiting.followers.iter().filter(|(p, _)| m.job_owner(p) == Some(owner));
-        theirs
+        let mut list: BTreeMap<String, u8> = theirs
             .map(|(p, jobs)| {
                 let ranks = jobs.iter().filter_map(|id| self.jobs.get(id));
                 let ranks = ranks.filter(|j| j.ending.is_none()).map(|j| j.spec.priority % GUARANTEED);
                 (p.clone(), ranks.max().unwrap_or(0))
             })
-            .filter(|(_, rank)| *rank > 0)
-            .collect()
+            .collect();
+        for (id, rank) in self.waiting.for_releases.iter().filter(|(id, _)| m.job_owner(id) == Some(owner)) {
+            let r = list.entry(id.clone()).or_default();
+            *r = (*r).max(*rank);
+        }
+        list.into_iter().filter(|(_, rank)| *rank > 0).collect()
+    }
+
+    /// What our held rotations wait for, and how urgent those are: the whole list.
+    pub fn releases_need(&mut self, list: BTreeMap<String, u8>) {
+        self.waiting.for_releases = list;
     }
 
     /// Takes what another controller's waiting jobs need of ours: the whole list.
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,6 +19,7 @@
 use self::handover::Handover;
 pub use self::handover::LEAVING;
 use self::pacts::{PactPurpose, Pacts};
+use self::release::Releases;
 use self::witness::Witness;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
@@ -211,6 +212,7 @@
     accepting: BTreeMap<String, Accepting>,
     follow: Follow,
     pacts: Pacts,
+    releases: Releases,
     handover: Handover,
     witness: Witness,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
@@ -271,6 +273,7 @@
             accepting: BTreeMap::new(),
             follow: Follow::default(),
             pacts: Pacts::default(),
+            releases: Releases::default(),
             handover: Handover::new(n),
             witness: Witness::new(n),
             lookups: BTreeMap::new(),
@@ -519,11 +522,7 @@
         kept.insert("follows".into(), json!(spec.follows));
     }
     if let Some(r) = &spec.release {
-        let mut release = json!({"title": r.title, "stage": r.stage});
-        if let Some(night) = &r.night {
-            release["night"] = night.as_str().into();
-        }
-        kept.insert("release".into(), release);
+        kept.insert("release".into(), r.value());
     }
     for (key, batch) in [("batch", &spec.batch), ("merges", &spec.merges)] {
         if let Some(b) = batch {
--- a/src/node/pacts.rs
+++ b/src/node/pacts.rs
@@ -7,6 +7,8 @@
 use hazelsaddle_pact::record::{self, Key, Record};
 use hazelsaddle_pact::shelf::{Held, Shelf};
 
+/// Work that looks at all records is done so often.
+pub(super) const ROUND: Micros = Micros::from_millis(300);
 /// A record that something here waits for is read again after so long.
 pub(super) const PAUSE_HELD: Micros = Micros::from_millis(1000);
 /// A reading that failed is tried again after so long.
@@ -42,6 +44,8 @@
     Census(u64),
     /// The end of a member that was live when it was last seen.
     Member(u64, String),
+    /// A page of a closed set's members.
+    Members(Key, u64, usize),
 }
 
 /// A change of a record under way.
@@ -51,8 +55,8 @@
     epoch: u64,
     mark: u64,
     next: Record,
-    /// Pages, the last first.
-    pages: Vec<Value>,
+    /// Pages and their keys, the last first.
+    pages: Vec<(String, Value)>,
     sent: Micros,
     /// What an operator hears once it is on record.
     then: Option<(u64, Reply)>,
@@ -86,9 +90,16 @@
     /// When the last whole list of heads of this epoch was begun.
     pub(super) listed: Option<Micros>,
     list_began: Micros,
+    /// Records that the latest list has found and that are not over; the list under way.
+    pub(super) listed_keys: BTreeSet<Key>,
+    listing_keys: BTreeSet<Key>,
+    next_round: Micros,
+    /// Ends that were read or told of since the epoch began, of members that matter.
+    ends: BTreeMap<String, Stands>,
     census: Option<(Census, Micros)>,
     census_busy: bool,
     census_retry: Micros,
+    census_took: Micros,
     /// Pacts that a census is wanted for, by head; filled anew in each round.
     wanted: BTreeSet<String>,
     /// The latest whole census of each pact, with when it began.
@@ -118,7 +129,7 @@
     let mut out = Vec::new();
     if let Some(r) = says.get("release")
         && let (Some(title), Some(night)) = (text(r, "title"), text(r, "night"))
-        && let Some(key) = crate::spec::release_key(&title, &night)
+        && let Some(key) = hazelsaddle_release::says::key(&title, &night)
     {
         out.push((key.head(), r.clone()));
     }
@@ -139,6 +150,7 @@
         (p.census, p.census_busy, p.listing) = (None, false, false);
         (p.listed, p.next_list) = (None, Micros(0));
         p.listed_after.clear();
+        p.ends.clear();
         p.found.clear();
         p.awaited.clear();
         p.unread.clear();
@@ -184,8 +196,8 @@
         &mut self,
         now: Micros,
         key: &Key,
-        mut next: Record,
-        pages: Vec<Value>,
+        next: Record,
+        pages: Vec<(String, Value)>,
         then: Option<(u64, Reply)>,
         out: &mut Vec<Effect>,
     ) -> bool {
@@ -207,9 +219,6 @@
         if !self.writes.take(now, cost, 0.2) {
             return false;
         }
-        if !pages.is_empty() {
-            next.pages = pages.len();
-        }
         self.pacts.changing.insert(key.clone());
         self.pacts.replying.extend(then.as_ref().map(|(ticket, _)| *ticket));
         let mark = self.pacts.shelf.mark(key);
@@ -220,17 +229,17 @@
         true
     }
 
-    /// Writes the next page of a change, or its head when all pages are on record. A page of a version says the same
-    /// whoever writes it: its members are those on record, in order, so it needs no version of its own.
+    /// Writes the next page of a change, or its head when all pages are on record. Pages are conditional on the head too:
+    /// one that is written late changes nothing that was decided.
     fn change_on(&mut self, mut c: Box<Change>, out: &mut Vec<Effect>) {
-        let mut commit = Commit { conditions: vec![self.fence()], ..Commit::default() };
+        let conditions = vec![self.fence(), (c.key.head(), c.mark)];
+        let mut commit = Commit { conditions, ..Commit::default() };
         match c.pages.pop() {
-            Some(page) => {
-                commit.puts.push((c.key.page(c.next.version, c.pages.len()), page, None));
+            Some((key, page)) => {
+                commit.puts.push((key, page, None));
                 self.ask_store(Purpose::Pact(PactPurpose::Page(c)), StoreRequest::Commit(commit), out);
             }
             None => {
-                commit.conditions.push((c.key.head(), c.mark));
                 commit.puts.push((c.key.head(), c.next.value(), None));
                 self.ask_store(Purpose::Pact(PactPurpose::Change(c)), StoreRequest::Commit(commit), out);
             }
@@ -315,6 +324,11 @@
 
     /// Reads what is due, does what records need, and goes on with submissions and operators' requests that wait.
     pub(super) fn pact_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let round = now >= self.pacts.next_round;
+        if round {
+            self.pacts.next_round = now + ROUND;
+            self.pacts.wanted.clear();
+        }
         for id in std::mem::take(&mut self.pacts.waiting) {
             self.put_on_record(now, id, out);
         }
@@ -322,10 +336,11 @@
         if !self.membership.may_act(now) || !self.owner.loaded || !self.pacts_on() {
             return;
         }
-        self.pacts.wanted.clear();
-        self.pacts.awaited.clear();
-        self.release_loop(now, out);
-        self.batch_loop(now, out);
+        if round {
+            self.pacts.awaited.clear();
+            self.release_loop(now, out);
+            self.batch_loop(now, out);
+        }
         if now < self.store_pause {
             return;
         }
@@ -339,10 +354,17 @@
         if now >= self.pacts.next_keep {
             self.pacts.next_keep = now + PAUSE_HELD;
             self.pacts.used.retain(|_, t| now.since(*t) < FORGET);
-            let wanted: BTreeSet<Key> = self.pacts.used.keys().cloned().collect();
+            let mut wanted: BTreeSet<Key> = self.pacts.used.keys().cloned().collect();
+            let listed = self.pacts.listed_keys.iter().chain(&self.pacts.listing_keys);
+            wanted.extend(listed.chain(&self.pacts.changing).cloned());
             self.pacts.shelf.keep(&wanted);
         }
-        for key in self.pacts.shelf.due(now, 4) {
+        for key in self.pacts.shelf.due(now, 8) {
+            // The list tells of those that nothing here waits for.
+            if !self.pacts.used.contains_key(&key) && *self.pacts.shelf.get(&key) != Held::Unread {
+                self.pacts.shelf.failed(&key, now + PAUSE_LIST);
+                continue;
+            }
             if self.in_flight.len() >= IN_FLIGHT || !self.requests.take(now, 1.0, 0.2) {
                 break;
             }
@@ -360,6 +382,7 @@
         }
         if self.pacts.listed_after.is_empty() {
             self.pacts.list_began = now;
+            self.pacts.listing_keys.clear();
         }
         self.pacts.listing = true;
         let prefix = record::Kind::Release.prefix();
@@ -382,16 +405,21 @@
                 tracing::error!(key = %row.key, "a pact's key can't be read");
                 continue;
             };
-            if !self.keeps_pact(&key) && *self.pacts.shelf.get(&key) == Held::Unread {
+            // What is over for good is of no use here.
+            let over = Record::read(&row.value).is_ok_and(|r| self.release_over(&r));
+            if over && *self.pacts.shelf.get(&key) == Held::Unread {
                 continue;
             }
             self.pacts.shelf.want(&key);
-            self.pacts.used.insert(key.clone(), now);
             self.take_pact(&key, sent, now, Some((&row.value, row.mark)));
+            if !over {
+                self.pacts.listing_keys.insert(key);
+            }
         }
         self.pacts.next_list = now + if more { Micros::from_millis(200) } else { PAUSE_LIST };
         if !more {
             self.pacts.listed = Some(self.pacts.list_began);
+            self.pacts.listed_keys = std::mem::take(&mut self.pacts.listing_keys);
         }
     }
 
@@ -439,6 +467,9 @@
     pub(super) fn member_ended(&mut self, id: &str, f: Final) {
         self.pacts.unread.remove(id);
         let stands = if f == Final::Done { Stands::Done } else { Stands::Cancelled };
+        if self.pacts.awaited.contains(id) {
+            self.pacts.ends.insert(id.to_owned(), stands);
+        }
         for (_, members) in self.pacts.found.values_mut() {
             if let Some(m) = members.get_mut(id) {
                 m.stands = m.stands.max(stands);
@@ -446,6 +477,35 @@
         }
     }
 
+    /// How a member stands that no census has seen.
+    pub(super) fn end_of(&self, id: &str) -> Option<Stands> {
+        self.pacts.ends.get(id).copied()
+    }
+
+    /// When the latest whole census of a pact began.
+    pub(super) fn census_began(&self, key: &Key) -> Option<Micros> {
+        self.pacts.found.get(&key.head()).map(|(began, _)| *began)
+    }
+
+    /// What is known of a pact's members so far, from whichever census.
+    pub(super) fn members_so_far(&self, key: &Key) -> Option<&Members> {
+        self.pacts.found.get(&key.head()).map(|(_, m)| m)
+    }
+
+    /// How long the last census took.
+    pub(super) fn census_took(&self) -> Micros {
+        self.pacts.census_took
+    }
+
+    /// A list of heads that begins no earlier than this is wanted.
+    pub(super) fn list_since(&mut self, since: Micros) -> bool {
+        let listed = self.pacts.listed.is_some_and(|t| t >= since);
+        if !listed {
+            self.pacts.next_list = Micros(0);
+        }
+        listed
+    }
+
     fn read_members(&mut self, now: Micros, out: &mut Vec<Effect>) {
         while self.in_flight.len() < IN_FLIGHT && self.requests.level(now) >= 0.3 {
             let Some(id) = self.pacts.unread.pop_first() else { break };
@@ -499,8 +559,7 @@
         p.found.extend(found.into_iter().map(|(pact, m)| (pact, (began, m))));
         p.unreadable = unreadable;
         p.census = None;
-        // Whoever ended between its page and the watch's beginning is read once.
-        p.unread.extend(p.awaited.iter().cloned());
+        p.census_took = now.since(began);
     }
 
     /// Members that a census found live are read once after it, as the watch may have begun later.
@@ -530,6 +589,7 @@
                     self.pacts.unread.insert(id);
                 }
             },
+            PactPurpose::Members(key, version, n) => self.members_page(now, key, version, n, a),
             // Of an epoch that has passed: all of this was begun anew.
             PactPurpose::Heads(..) | PactPurpose::Census(_) | PactPurpose::Member(..) => {}
             PactPurpose::Page(c) => match a {
@@ -565,6 +625,7 @@
             "jobs_unreadable": self.pacts.unreadable,
             "census_under_way": self.pacts.census.is_some(),
             "members_awaited": self.pacts.awaited.len(),
+            "releases": self.release_status(),
         })
     }
 }
--- a/src/node/release.rs
+++ b/src/node/release.rs
@@ -1,34 +1,469 @@
-//! Releases: opened by calendar or by the first submission, closed, counted, and only then rotated.
+//! Releases: opened by calendar with the first submission, joined, closed, counted, and only then rotated. What a set is
+//! and when a rotation may start is `hazelsaddle_release`'s; here its records are read and written.
 
-use super::pacts::Gate;
+use super::pacts::{Gate, Members, Operating};
 use super::*;
 use crate::api::ops::OpRequest;
+use crate::jobs::Hold;
+use hazelsaddle_pact::census::Stands;
+use hazelsaddle_pact::record::{Key, Phase, Record};
+use hazelsaddle_pact::shelf::Held;
+use hazelsaddle_release::calendar::nearest;
+use hazelsaddle_release::join::{self, Join};
+use hazelsaddle_release::says::{self, Says};
+use hazelsaddle_release::set::{self, Member, Not, Release};
+use hazelsaddle_release::show::Shown;
+use hazelsaddle_release::verdict::{Fact, Verdict, verdict};
+
+/// Open sets are counted so often, to close those that have all renders that were declared.
+const COUNT: Micros = Micros::from_millis(5000);
+/// A page that could not be read is asked for again after so long.
+const AGAIN: Micros = Micros::from_millis(300);
+/// Causes named in a held job's reason.
+const CAUSES: usize = 3;
+
+/// What this controller knows of releases.
+#[derive(Default)]
+pub(super) struct Releases {
+    /// When a set was first seen here as closing or closed, by version. Only a census that began later has all members.
+    closed_at: BTreeMap<(Key, u64), Micros>,
+    /// Pages of closed sets, as far as they are read.
+    pages: BTreeMap<(Key, u64), Vec<Option<Value>>>,
+    asked: BTreeMap<(Key, u64, usize), Micros>,
+    /// The census whose live members have been read again.
+    checked: BTreeMap<Key, Micros>,
+    /// A count of open sets that began no earlier than this is wanted.
+    count_since: Micros,
+    late: BTreeSet<(Key, u64)>,
+}
+
+/// What a rotation's verdict rests on.
+struct Known {
+    members: Option<Vec<Member>>,
+    facts: BTreeMap<String, Fact>,
+}
+
+impl Known {
+    fn fact(&self, id: &str) -> Fact {
+        self.facts.get(id).copied().unwrap_or(Fact::Unread)
+    }
+}
+
+fn fact_of(s: Stands) -> Fact {
+    match s {
+        Stands::Live => Fact::Live,
+        Stands::Done => Fact::Done,
+        Stands::Cancelled => Fact::Cancelled,
+    }
+}
+
+/// The rebuilds and renders among those that a census found.
+fn seen(members: &Members) -> Vec<Member> {
+    let of = |id: &String, says: &Value| {
+        let s = Says::parse(says).ok()?;
+        let rotates = s.stage == hazelsaddle_release::calendar::Stage::Rotation;
+        (!rotates).then(|| Member { id: id.clone(), stage: s.stage, expects: s.expects })
+    };
+    members.iter().filter_map(|(id, m)| of(id, &m.says)).collect()
+}
 
 impl Node {
     /// Whether operators have set a calendar.
     pub(super) fn releases_on(&self) -> bool {
-        false
+        !self.settings.operators.calendars.0.is_empty()
+    }
+
+    /// Whether a record is of no use to anybody but its own rotation any more.
+    pub(super) fn release_over(&self, r: &Record) -> bool {
+        Release::read(r).is_ok_and(|b| b.rotated)
     }
 
     /// The condition on which a submission joins its release.
-    pub(super) fn release_gate(&mut self, _now: Micros, id: &str, _out: &mut Vec<Effect>) -> Gate {
-        match self.accepting.get(id).and_then(|a| a.spec.release.as_ref()) {
-            None => Gate::Open(Vec::new()),
-            Some(_) => Gate::Never("release: no calendar is set here".into()),
+    pub(super) fn release_gate(&mut self, now: Micros, id: &str, out: &mut Vec<Effect>) -> Gate {
+        let Some(a) = self.accepting.get(id) else { return Gate::Wait };
+        let Some(mut says) = a.spec.release.clone() else { return Gate::Open(Vec::new()) };
+        if !self.releases_on() {
+            return Gate::Never("release: no calendar is set here".into());
+        }
+        let (began, class, wall) = (a.began, a.spec.class.clone(), self.wall.0);
+        if says.night.is_none() {
+            if self.pacts.listed.is_none() {
+                return Gate::Wait;
+            }
+            let sets: Vec<(Phase, Release)> = self
+                .pacts
+                .shelf
+                .iter()
+                .filter_map(|(_, h)| match h {
+                    Held::Is(r) => Some((r.phase, Release::read(r).ok()?)),
+                    _ => None,
+                })
+                .collect();
+            let sets = sets.iter().map(|(p, r)| (*p, r));
+            match join::night(&self.settings.operators.calendars, sets, &says, wall) {
+                Ok(night) => says.night = Some(night),
+                Err(e) => return Gate::Never(format!("release: {e}")),
+            }
+            // From here on the job names its night, also on record.
+            if let Some(a) = self.accepting.get_mut(id) {
+                a.raw["release"] = says.value();
+                a.spec.release = Some(says.clone());
+            }
+        }
+        let Some(key) = says.key() else { return Gate::Never("release: it has no such night".into()) };
+        let held = self.pact(now, &key);
+        match join::may_join(&held, &self.settings.operators.calendars, &says, &class, wall) {
+            // A rotation is no member: nobody waits for it.
+            Join::Now if says.stage == hazelsaddle_release::calendar::Stage::Rotation => {
+                Gate::Open(Vec::new())
+            }
+            // Guards against one that joins while the set closes: what was read must still be on record.
+            Join::Now => Gate::Open(vec![self.join_of(&key)]),
+            Join::Open(record) => {
+                if !self.pact_changing(&key) {
+                    tracing::info!(title = %says.title, night = ?says.night, first = id, "release opened");
+                    self.change_pact(now, &key, record, Vec::new(), None, out);
+                }
+                Gate::Wait
+            }
+            Join::Later(_) => Gate::Wait,
+            // A refusal is for good, so it must not rest on what was read before the question came.
+            Join::Refused(why) => match self.pact_since(now, &key, began) {
+                Some(_) => Gate::Never(format!("release: {why}")),
+                None => Gate::Wait,
+            },
         }
     }
 
     /// What releases need in each round.
-    pub(super) fn release_loop(&mut self, _now: Micros, _out: &mut Vec<Effect>) {}
+    pub(super) fn release_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now >= self.releases.count_since + COUNT.max(Micros(self.census_took().0 * 10)) {
+            self.releases.count_since = now;
+        }
+        let sets: Vec<(Key, Record)> = self
+            .pacts
+            .shelf
+            .iter()
+            .filter(|(k, _)| self.keeps_pact(k))
+            .filter_map(|(k, h)| match h {
+                Held::Is(r) if k.kind() == hazelsaddle_pact::record::Kind::Release => {
+                    Some((k.clone(), r.clone()))
+                }
+                _ => None,
+            })
+            .collect();
+        for (key, record) in sets {
+            if !self.pact_changing(&key) {
+                self.keep_release(now, &key, &record, out);
+            }
+        }
+        let held: Vec<(String, Key, u8)> = self
+            .owner
+            .held_jobs()
+            .filter(|(_, _, h)| matches!(h, Hold::Release(_)))
+            .filter_map(|(id, j, _)| {
+                let key = j.spec.release.as_ref()?.key()?;
+                Some((id.clone(), key, j.spec.priority % crate::spec::GUARANTEED))
+            })
+            .collect();
+        let mut needs: BTreeMap<String, u8> = BTreeMap::new();
+        for (id, key, rank) in held {
+            let known = self.hold_rotation(now, &id, &key, out);
+            for (member, fact) in known.facts {
+                if fact == Fact::Live {
+                    let r = needs.entry(member).or_default();
+                    *r = (*r).max(rank);
+                }
+            }
+        }
+        self.owner.releases_need(needs);
+        let live: BTreeSet<&Key> = self.pacts.shelf.iter().map(|(k, _)| k).collect();
+        self.releases.closed_at.retain(|(k, _), _| live.contains(k));
+        self.releases.pages.retain(|(k, _), _| live.contains(k));
+        self.releases.checked.retain(|k, _| live.contains(k));
+    }
+
+    /// What the keeper of a set does by itself.
+    fn keep_release(&mut self, now: Micros, key: &Key, record: &Record, out: &mut Vec<Effect>) {
+        let Ok(body) = Release::read(record) else { return };
+        if body.rotated {
+            return;
+        }
+        if body.is_late(self.wall.0) && self.releases.late.insert((key.clone(), record.version)) {
+            tracing::info!(title = %body.title, night = %body.night, phase = ?record.phase, "release late: its rotation is due and has not started");
+        }
+        match record.phase {
+            Phase::Open => {
+                self.census_since(key, self.releases.count_since);
+                let known = self.members_so_far(key);
+                let there = |m: &Member| {
+                    known.and_then(|k| k.get(&m.id)).is_some_and(|m| m.stands != Stands::Cancelled)
+                };
+                let members: Vec<Member> = known.map(seen).unwrap_or_default();
+                let Some(by) = body.to_close(members.iter().filter(|m| there(m)), self.wall.0) else { return };
+                let Ok(next) = set::closing(record, by) else { return };
+                if self.change_pact(now, key, next, Vec::new(), None, out) {
+                    tracing::info!(title = %body.title, night = %body.night, by = by.word(), "release closing");
+                }
+            }
+            Phase::Closing => {
+                // Guards against a census that began while members could still join.
+                let since = *self.releases.closed_at.entry((key.clone(), record.version)).or_insert(now);
+                let Some(found) = self.census_since(key, since).cloned() else { return };
+                match set::closed(key, record, &found, self.settings.value_bytes) {
+                    Ok((pages, next)) => {
+                        if self.change_pact(now, key, next, pages, None, out) {
+                            tracing::info!(title = %body.title, night = %body.night, members = found.len(), "release closed");
+                        }
+                    }
+                    Err(e) => tracing::error!(record = %key.head(), reason = %e, "a release can't be closed"),
+                }
+            }
+            Phase::Closed => {}
+        }
+    }
+
+    /// Looks at what a held rotation waits for, and lets it go when its release is on record as complete.
+    fn hold_rotation(&mut self, now: Micros, id: &str, key: &Key, out: &mut Vec<Effect>) -> Known {
+        let held = self.pact(now, key);
+        let known = self.release_known(now, key, &held, out);
+        match verdict(&held, known.members.as_deref(), |m| known.fact(m)) {
+            // Only what is on record lets a task start: a controller that comes next must find the same.
+            Verdict::Open => {
+                tracing::info!(job = id, record = %key.head(), "rotation released");
+                self.owner.note_time(self.wall);
+                self.owner.lift(id);
+            }
+            Verdict::Ready(next) => {
+                if self.change_pact(now, key, next, Vec::new(), None, out) {
+                    tracing::info!(job = id, record = %key.head(), "release complete");
+                }
+            }
+            Verdict::Held { why } => {
+                let mut text: Vec<String> = why.iter().take(CAUSES).map(ToString::to_string).collect();
+                if why.len() > CAUSES {
+                    text.push(format!("and {} more", why.len() - CAUSES));
+                }
+                self.owner.hold(id, Hold::Release(text.join("; ")));
+            }
+        }
+        known
+    }
+
+    /// All that is known of a set's members: of a closed one those on its pages, otherwise those found so far.
+    fn release_known(&mut self, now: Micros, key: &Key, held: &Held, out: &mut Vec<Effect>) -> Known {
+        let mut known = Known { members: None, facts: BTreeMap::new() };
+        let Held::Is(record) = held else { return known };
+        if record.phase != Phase::Closed {
+            if let Some(found) = self.members_so_far(key) {
+                known.facts = found.iter().map(|(id, m)| (id.clone(), fact_of(m.stands))).collect();
+                let members = seen(found);
+                known.facts.retain(|id, _| members.iter().any(|m| m.id == *id));
+                known.members = Some(members);
+            }
+            return known;
+        }
+        if self.release_over(record) {
+            return known;
+        }
+        known.members = self.release_members(now, key, record, out);
+        let since = *self.releases.closed_at.entry((key.clone(), record.version)).or_insert(now);
+        let Some(found) = self.census_since(key, since).cloned() else { return known };
+        let mut open: Vec<String> = Vec::new();
+        for m in known.members.iter().flatten() {
+            let by_census = found.get(&m.id).map(|f| f.stands).unwrap_or(Stands::Live);
+            let stands = by_census.max(self.end_of(&m.id).unwrap_or(Stands::Live));
+            known.facts.insert(m.id.clone(), fact_of(stands));
+            if stands == Stands::Live {
+                open.push(m.id.clone());
+            }
+        }
+        self.await_members(open.iter().cloned());
+        // The watch tells of ends from here on; those that came between the census' page and now are read.
+        let began = self.census_began(key);
+        if known.members.is_some() && self.releases.checked.get(key).copied() != began {
+            self.releases.checked.extend(began.map(|t| (key.clone(), t)));
+            self.read_live(open.into_iter());
+        }
+        known
+    }
+
+    /// The members on the pages of a closed set, once all are read.
+    fn release_members(
+        &mut self,
+        now: Micros,
+        key: &Key,
+        record: &Record,
+        out: &mut Vec<Effect>,
+    ) -> Option<Vec<Member>> {
+        let of = (key.clone(), record.version);
+        let pages = self.releases.pages.entry(of).or_insert_with(|| vec![None; record.pages]);
+        if pages.len() != record.pages {
+            *pages = vec![None; record.pages];
+        }
+        let missing: Vec<usize> = (0..pages.len()).filter(|n| pages[*n].is_none()).collect();
+        if missing.is_empty() {
+            return match set::members(pages.iter().flatten()) {
+                Ok(members) => Some(members),
+                Err(e) => {
+                    tracing::error!(record = %key.head(), reason = %e, "a page of members can't be read");
+                    None
+                }
+            };
+        }
+        for n in missing {
+            let this = (key.clone(), record.version, n);
+            if self.releases.asked.get(&this).is_some_and(|t| now < *t) {
+                continue;
+            }
+            if self.in_flight.len() >= IN_FLIGHT || !self.requests.take(now, 1.0, 0.2) {
+                break;
+            }
+            self.releases.asked.insert(this, now + Micros::from_millis(4000));
+            let get = StoreRequest::Get(key.page(record.version, n));
+            let purpose = PactPurpose::Members(key.clone(), record.version, n);
+            self.ask_store(Purpose::Pact(purpose), get, out);
+        }
+        None
+    }
+
+    pub(super) fn members_page(&mut self, now: Micros, key: Key, version: u64, n: usize, a: StoreAnswer) {
+        let this = (key.clone(), version, n);
+        if let StoreAnswer::Got(Some(row)) = a {
+            self.releases.asked.remove(&this);
+            if let Some(p) = self.releases.pages.get_mut(&(key, version)).and_then(|p| p.get_mut(n)) {
+                *p = Some(row.value);
+            }
+        } else {
+            if a == StoreAnswer::Got(None) {
+                tracing::error!(page = %key.page(version, n), "a page of members is missing");
+            }
+            self.releases.asked.insert(this, now + AGAIN);
+        }
+    }
+
+    // ---- Operators ----
 
     /// An operator's request about releases: the answer, or None if it is to be asked again in the next round.
     pub(super) fn release_request(
         &mut self,
-        _now: Micros,
-        _r: &super::pacts::Operating,
-        _out: &mut Vec<Effect>,
+        now: Micros,
+        o: &Operating,
+        out: &mut Vec<Effect>,
     ) -> Option<Reply> {
-        let _ = OpRequest::Releases;
-        Some(Reply::error(404, "releases are not switched on: no calendar is set here"))
+        if !self.releases_on() {
+            return Some(Reply::error(404, "releases are not switched on: no calendar is set here"));
+        }
+        if !self.takes_pacts() {
+            return Some(Reply::later("not every controller knows of releases yet"));
+        }
+        let (title, night) = match &o.request {
+            OpRequest::Release(t, n) | OpRequest::Close(t, n) | OpRequest::Reopen(t, n) => (t, n),
+            OpRequest::Waive(t, n, ..) => (t, n),
+            _ => {
+                if !self.list_since(o.began) {
+                    return None;
+                }
+                return Some(Reply::json(200, &json!({"releases": self.release_status()})));
+            }
+        };
+        let night = match night {
+            Some(n) => n.clone(),
+            None if !self.list_since(o.began) => return None,
+            None => {
+                let mine = self.pacts.listed_keys.iter().filter_map(says::named);
+                match mine.filter(|(t, _)| t == title).map(|(_, n)| n).max() {
+                    Some(n) => n.to_owned(),
+                    None => return Some(self.no_such_title(title)),
+                }
+            }
+        };
+        let Some(key) = says::key(title, &night) else {
+            return Some(Reply::error(400, "title: can't be the name of a release"));
+        };
+        let held = self.pact_since(now, &key, o.began)?;
+        let record = match &held {
+            Held::Absent => return Some(Reply::error(404, &format!("no release of {title} on {night}"))),
+            Held::Is(record) => record.clone(),
+            Held::Unreadable(why) => return Some(Reply::error(409, &why.to_string())),
+            Held::Unread => return None,
+        };
+        let ticket = o.ticket;
+        let change = match &o.request {
+            OpRequest::Close(..) => set::close(&record),
+            OpRequest::Reopen(..) => set::reopen(&record),
+            OpRequest::Waive(_, _, job, why) => {
+                let members = self.members_for(now, o, &key, &record, out)?.members.unwrap_or_default();
+                set::waive(&record, &members, job, why)
+            }
+            _ => {
+                let known = self.members_for(now, o, &key, &record, out)?;
+                let members = known.members.as_deref();
+                let shown = Shown::of((title, &night), &held, members, |m| known.fact(m), self.wall.0);
+                let text = shown.to_string();
+                return Some(match serde_json::to_value(&shown) {
+                    Ok(mut v) => {
+                        v["text"] = text.into();
+                        Reply::json(200, &v)
+                    }
+                    Err(e) => Reply::error(500, &e.to_string()),
+                });
+            }
+        };
+        match change {
+            Err(e @ (Not::Why | Not::NoMember { .. })) => Some(Reply::error(422, &e.to_string())),
+            Err(Not::Counting) => Some(Reply::later(&Not::Counting.to_string())),
+            Err(e) => Some(Reply::error(409, &e.to_string())),
+            Ok(next) => {
+                let reply = json!({"title": title, "night": night, "phase": next.phase, "version": next.version});
+                tracing::info!(title = %title, night = %night, request = ?o.request, "operator's change of a release");
+                self.change_pact(now, &key, next, Vec::new(), Some((ticket, Reply::json(200, &reply))), out);
+                None
+            }
+        }
+    }
+
+    /// Members and how they stand, by a census that began after the question: None until it is over.
+    fn members_for(
+        &mut self,
+        now: Micros,
+        o: &Operating,
+        key: &Key,
+        record: &Record,
+        out: &mut Vec<Effect>,
+    ) -> Option<Known> {
+        let found = self.census_since(key, o.began).cloned();
+        let members = match record.phase {
+            Phase::Closed => self.release_members(now, key, record, out),
+            _ => found.as_ref().map(seen),
+        };
+        let (found, members) = (found?, members?);
+        let stands = |m: &Member| found.get(&m.id).map_or(Fact::Unread, |f| fact_of(f.stands));
+        let facts = members.iter().map(|m| (m.id.clone(), stands(m))).collect();
+        Some(Known { members: Some(members), facts })
+    }
+
+    fn no_such_title(&self, title: &str) -> Reply {
+        let known: Vec<&str> = self.pacts.listed_keys.iter().filter_map(says::named).map(|(t, _)| t).collect();
+        let like = nearest(title, known).map(|t| format!("; the nearest is {t}")).unwrap_or_default();
+        Reply::error(404, &format!("no release of {title} is under way{like}"))
+    }
+
+    /// Releases that are not over, as the latest list had them.
+    pub(super) fn release_status(&self) -> Vec<Value> {
+        let of = |key: &Key| {
+            let (title, night) = says::named(key)?;
+            Some(match self.pacts.shelf.get(key) {
+                Held::Is(r) => match Release::read(r) {
+                    Ok(b) => json!({"title": title, "night": night, "phase": r.phase, "version": r.version,
+                        "late": b.is_late(self.wall.0), "closed_by": b.closed_by, "waived": b.waived.len(),
+                        "rotated": b.rotated}),
+                    Err(e) => json!({"title": title, "night": night, "unreadable": e.to_string()}),
+                },
+                Held::Unreadable(why) => json!({"title": title, "night": night, "unreadable": why.to_string()}),
+                Held::Unread | Held::Absent => return None,
+            })
+        };
+        self.pacts.listed_keys.iter().filter_map(of).collect()
     }
 }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -253,7 +253,9 @@
         // A body with superfluous fields must not make a record that the store won't take.
         let raw = trimmed(&raw, &spec);
         let limit = self.settings.value_bytes;
-        if Owner::longest(&raw, &spec, wall) > limit {
+        // The night is filled in later.
+        let night = if spec.release.as_ref().is_some_and(|r| r.night.is_none()) { 32 } else { 0 };
+        if Owner::longest(&raw, &spec, wall) + night > limit {
             let why = format!("the description is too long to be kept: its record may have {limit} bytes");
             return Some(Reply::error(422, &why));
         }
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -2,16 +2,19 @@
 //! as if it were empty.
 
 use hazelsaddle_logs::config::{ConfigError, ini_of, text_of};
+use hazelsaddle_release::calendar::{Calendar, Calendars};
 use std::net::SocketAddrV4;
 
 /// Log stores named at the most: their addresses are in every answer about a job.
 const STORES: usize = 16;
 
 /// What operators have set.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operators {
     /// Reader addresses of log stores; told to whoever asks about a job.
     pub log_stores: Vec<SocketAddrV4>,
+    /// Release calendars; without one nothing of releases is switched on.
+    pub calendars: Calendars,
 }
 
 impl Operators {
@@ -32,6 +35,15 @@
         let mut found = Operators::default();
         for (section, values) in ini.iter() {
             let section = section.unwrap_or("");
+            if let Some(name) = section.strip_prefix("calendar ").map(str::trim).filter(|n| !n.is_empty()) {
+                let calendar = Calendar::parse(name, values.iter())
+                    .map_err(|e| ConfigError::key(file, section, &e.key, e.reason))?;
+                if found.calendars.0.iter().any(|c| c.name == name) {
+                    return Err(ConfigError::key(file, section, "title", "the calendar is given twice".into()));
+                }
+                found.calendars.0.push(calendar);
+                continue;
+            }
             for (key, value) in values.iter() {
                 let bad = |reason: String| ConfigError::key(file, section, key, reason);
                 match (section, key) {
@@ -67,6 +79,8 @@
         for (text, named) in [
             ("[logs]\nstores = here:1\n", "f.ini: [logs] stores"),
             ("[logs]\nstore = 10.0.0.1:1\n", "f.ini: [logs] store:"),
+            ("[calendar n]\ntitel = x\n", "f.ini: [calendar n] titel:"),
+            ("[calendar n]\ntitle = x\n", "f.ini: [calendar n] zone:"),
             ("[log]\nstores = 10.0.0.1:1\n", "f.ini: [log] stores:"),
         ] {
             let e = Operators::parse("f.ini", text).expect_err(text).to_string();
