--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //! decide what runs where. `docs/design.md` tells how and why.
 
 pub mod api;
+pub mod commands;
 pub mod daemon;
 pub mod fleet;
 pub mod jobs;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use clap::{Parser, Subcommand};
+use hazelsaddle::commands::{self, Asked, ReleaseCommand};
 use hazelsaddle::{daemon, operators::Operators, settings::Settings};
 use hazelsaddle_logs::cli as logs_cli;
 use std::process::ExitCode;
@@ -36,6 +37,16 @@
     /// List and fetch the files that tasks produced.
     #[command(subcommand)]
     Artefacts(logs_cli::ArtefactsCommand),
+    /// Show and change releases: what a rotation waits for.
+    #[command(subcommand)]
+    Release(ReleaseCommand),
+    /// Say why a job waits.
+    Why {
+        /// The job.
+        job: String,
+        #[command(flatten)]
+        asked: Asked,
+    },
     /// Check a settings file and print what follows from it.
     Check {
         /// The platform's settings file (TOML).
@@ -80,7 +91,19 @@
             ExitCode::from(code)
         }
     };
+    let said = |answer: Result<String, commands::Failed>| match answer {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(commands::Failed(code, why)) => {
+            eprintln!("hazelsaddle: {why}");
+            ExitCode::from(code)
+        }
+    };
     match Cli::parse().command {
+        Action::Release(command) => said(commands::release(&command)),
+        Action::Why { job, asked } => said(commands::why(&asked, &job)),
         Action::Store(args) => {
             logs();
             told(logs_cli::store(&args))
--- a/src/node/pacts.rs
+++ b/src/node/pacts.rs
@@ -274,9 +274,14 @@
 
     /// The conditions on which a submission may be put on record.
     pub(super) fn joins(&mut self, now: Micros, id: &str, out: &mut Vec<Effect>) -> Gate {
-        let Some(a) = self.accepting.get(id).filter(|a| a.spec.has_pact()) else {
+        if !self.accepting.get(id).is_some_and(|a| a.spec.has_pact()) {
             return Gate::Open(Vec::new());
-        };
+        }
+        // Guards against an older controller that has joined since the submission came.
+        if !self.takes_pacts() {
+            return Gate::Later("not every controller knows of releases and batches yet".into());
+        }
+        let Some(a) = self.accepting.get(id) else { return Gate::Wait };
         if now.since(a.began) >= PATIENCE {
             return Gate::Later("a record that it names could not be read or changed in time".into());
         }
--- a/src/node/release.rs
+++ b/src/node/release.rs
@@ -200,7 +200,9 @@
                     known.and_then(|k| k.get(&m.id)).is_some_and(|m| m.stands != Stands::Cancelled)
                 };
                 let members: Vec<Member> = known.map(seen).unwrap_or_default();
-                let Some(by) = body.to_close(members.iter().filter(|m| there(m)), self.wall.0) else { return };
+                let Some(by) = body.to_close(members.iter().filter(|m| there(m)), self.wall.0) else {
+                    return;
+                };
                 let Ok(next) = set::closing(record, by) else { return };
                 if self.change_pact(now, key, next, Vec::new(), None, out) {
                     tracing::info!(title = %body.title, night = %body.night, by = by.word(), "release closing");
@@ -415,7 +417,8 @@
             Err(Not::Counting) => Some(Reply::later(&Not::Counting.to_string())),
             Err(e) => Some(Reply::error(409, &e.to_string())),
             Ok(next) => {
-                let reply = json!({"title": title, "night": night, "phase": next.phase, "version": next.version});
+                let reply =
+                    json!({"title": title, "night": night, "phase": next.phase, "version": next.version});
                 tracing::info!(title = %title, night = %night, request = ?o.request, "operator's change of a release");
                 self.change_pact(now, &key, next, Vec::new(), Some((ticket, Reply::json(200, &reply))), out);
                 None
@@ -444,7 +447,8 @@
     }
 
     fn no_such_title(&self, title: &str) -> Reply {
-        let known: Vec<&str> = self.pacts.listed_keys.iter().filter_map(says::named).map(|(t, _)| t).collect();
+        let known: Vec<&str> =
+            self.pacts.listed_keys.iter().filter_map(says::named).map(|(t, _)| t).collect();
         let like = nearest(title, known).map(|t| format!("; the nearest is {t}")).unwrap_or_default();
         Reply::error(404, &format!("no release of {title} is under way{like}"))
     }
@@ -460,7 +464,9 @@
                         "rotated": b.rotated}),
                     Err(e) => json!({"title": title, "night": night, "unreadable": e.to_string()}),
                 },
-                Held::Unreadable(why) => json!({"title": title, "night": night, "unreadable": why.to_string()}),
+                Held::Unreadable(why) => {
+                    json!({"title": title, "night": night, "unreadable": why.to_string()})
+                }
                 Held::Unread | Held::Absent => return None,
             })
         };
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -39,7 +39,12 @@
                 let calendar = Calendar::parse(name, values.iter())
                     .map_err(|e| ConfigError::key(file, section, &e.key, e.reason))?;
                 if found.calendars.0.iter().any(|c| c.name == name) {
-                    return Err(ConfigError::key(file, section, "title", "the calendar is given twice".into()));
+                    return Err(ConfigError::key(
+                        file,
+                        section,
+                        "title",
+                        "the calendar is given twice".into(),
+                    ));
                 }
                 found.calendars.0.push(calendar);
                 continue;
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -2,5 +2,6 @@
 
 mod chains;
 mod plain;
+mod releases;
 mod takeovers;
 mod upgrade;
--- a/tests/world/outside.rs
+++ b/tests/world/outside.rs
@@ -77,7 +77,7 @@
             // but the ring's own keys, on the record's version for jobs and teams.
             for key in puts.iter().map(|p| &p.0).chain(drops).filter(|k| !k.starts_with("ring/")) {
                 assert!(conditions.iter().any(|c| c.0 == "ring/epoch" && c.1 > 0), "{key} without fence");
-                let own = key.starts_with("job/") || key.starts_with("team/");
+                let own = ["job/", "team/", "pact/"].iter().any(|p| key.starts_with(p));
                 assert!(!own || conditions.iter().any(|c| c.0 == *key), "{key} without version");
             }
         }
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -75,6 +75,8 @@
     pub(crate) done: BTreeSet<u32>,
     pub(crate) next: u64,
     pub(crate) submitted: bool,
+    /// It was refused for good: its release had closed.
+    pub(crate) refused: bool,
     /// Its latest request: a user asks anew only after giving up on the last answer.
     pub(crate) latest: u64,
 }
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -14,6 +14,9 @@
             }
             for t in w.tasks.iter().filter(|t| t.on()) {
                 let j = &self.jobs[&t.job];
+                if j.spec.rotates() {
+                    self.check_rotation(&t.job);
+                }
                 if let Some(other) = on.insert((&t.job, t.index), &w.name) {
                     panic!("ran_twice: {}/{} on {other} and {} at {}", t.job, t.index, w.name, self.now);
                 }
@@ -90,3 +93,28 @@
             .collect()
     }
 }
+
+impl World {
+    /// A rotation's task is on a machine: its set must be closed, that it rotates must be on record, and every job on record
+    /// that belongs to the set must be done there, or done without by an operator's word.
+    pub(crate) fn check_rotation(&self, id: &str) {
+        let says = |id: &str| {
+            let live = self.store.keys.get(&format!("job/{id}")).map(|v| (&v.0["spec"]["release"], None));
+            let end = self.store.keys.get(&format!("done/{id}"));
+            live.or(end.map(|v| (&v.0["says"]["release"], Some(&v.0["end"]))))
+        };
+        let (own, _) = says(id).expect("it is on record");
+        let text = |v: &Value, key: &str| v[key].as_str().expect("text").to_owned();
+        let head = format!("pact/r/{}@{}", text(own, "title"), text(own, "night"));
+        let (record, ..) = self.store.keys.get(&head).expect("a rotation's record");
+        assert!(record["phase"] == "closed" && record["body"]["rotated"] == true, "early: {id} of {record}");
+        for key in self.store.keys.keys().filter_map(|k| k.strip_prefix("job/").or(k.strip_prefix("done/"))) {
+            let Some((of, end)) = says(key) else { continue };
+            if of["title"] != own["title"] || of["night"] != own["night"] || of["stage"] == "rotation" {
+                continue;
+            }
+            let waived = record["body"]["waived"].get(key).is_some();
+            assert!(waived || end.is_some_and(|e| e == "done"), "early: {id} before {key}, {end:?}");
+        }
+    }
+}
--- a/tests/world/shape.rs
+++ b/tests/world/shape.rs
@@ -22,8 +22,14 @@
     pub(crate) run: u64,
     /// How likely it is that a job follows others.
     pub(crate) chained: f64,
+    /// Whether operators have set a release calendar.
+    pub(crate) calendar: bool,
 }
 
+/// The night of the world's first day: from its beginning, renders due after three minutes, the rotation after five.
+pub(crate) const CALENDAR: &str = "[calendar shops]\ntitle = shop-*\nzone = UTC\nnight_begins = 00:00\n\
+    renders_due = 00:03\nrotation_due = 00:05\nrotation = rotate\n";
+
 pub(crate) const SMALL: Shape = Shape {
     machines: 4,
     room: 6,
@@ -34,6 +40,7 @@
     pause: 8 * S,
     run: 25 * S,
     chained: 0.0,
+    calendar: false,
 };
 /// Most jobs follow others: chains, diamonds and fans come of it by chance.
 pub(crate) const CHAINED: Shape = Shape { chained: 0.75, pause: 6 * S, ..SMALL };
@@ -49,6 +56,7 @@
     pause: 2 * S,
     run: 4 * S,
     chained: 0.4,
+    calendar: false,
 };
 
 pub(crate) fn limit(team: usize, shape: Shape) -> f64 {
@@ -86,7 +94,11 @@
         me + 1,
         me + 1
     );
-    Settings::parse("test", &text).expect("the settings are valid")
+    let mut s = Settings::parse("test", &text).expect("the settings are valid");
+    if shape.calendar && !limited {
+        s.operators = Operators::parse("test.ini", CALENDAR).expect("a valid calendar");
+    }
+    s
 }
 
 pub(crate) fn types() -> Vec<MachineType> {
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -52,6 +52,7 @@
             done: BTreeSet::new(),
             next: self.now,
             submitted: false,
+            refused: false,
             latest: 0,
         };
         self.jobs.entry(id).insert_entry(job).into_mut()
@@ -139,6 +140,15 @@
     }
 
     pub(crate) fn user_answer(&mut self, id: &str, kind: char, r: &Reply) {
+        // Whoever comes too late for a release is refused for good, but only while nobody knows of the job.
+        if r.status == 422
+            && let Some(j) = self.jobs.get_mut(id)
+            && j.spec.release.is_some()
+            && j.known == Known::Nothing
+        {
+            (j.refused, j.next) = (true, NEVER);
+            return;
+        }
         assert!(r.status != 400 && r.status != 422 && r.status != 409, "{id}: {r:?}");
         if r.status == 503 {
             assert!(r.retry_after.is_some(), "a refusal says when to come back");
