--- a/crates/release/src/lib.rs
+++ b/crates/release/src/lib.rs
@@ -27,3 +27,6 @@
 pub mod show;
 pub mod stagger;
 pub mod verdict;
+
+#[cfg(test)]
+mod tests;
--- a/crates/release/src/show.rs
+++ b/crates/release/src/show.rs
@@ -18,7 +18,7 @@
     pub title: String,
     /// The night.
     pub night: String,
-    /// `open`, `closing`, `held`, `ready` or `rotated`; `unreadable`.
+    /// `open`, `closing`, `held`, `ready` or `rotated`; `absent`, `unread` or `unreadable` where there is no record to go by.
     pub state: &'static str,
     /// The record's version: above 1 it was reopened.
     pub version: u64,
@@ -74,7 +74,11 @@
         let mut s = Shown {
             title: title.to_owned(),
             night: night.to_owned(),
-            state: "unreadable",
+            state: match held {
+                Held::Unread => "unread",
+                Held::Absent => "absent",
+                _ => "unreadable",
+            },
             version: 0,
             calendar: String::new(),
             begins: String::new(),
