--- a/crates/release/tests/model.rs
+++ b/crates/release/tests/model.rs
@@ -167,10 +167,10 @@
             if s.jobs[j] == Job::Absent && s.joins[j].is_none() && s.head.phase == Phase::Open {
                 then(&|n| n.joins[j] = Some(s.head.mark));
             }
-            if let Some(mark) = s.joins[j] {
-                if mark == s.head.mark || !self.join_on_mark {
-                    then(&|n| (n.joins[j], n.jobs[j]) = (None, Job::Live));
-                }
+            if let Some(mark) = s.joins[j]
+                && (mark == s.head.mark || !self.join_on_mark)
+            {
+                then(&|n| (n.joins[j], n.jobs[j]) = (None, Job::Live));
             }
             match s.jobs[j] {
                 Job::Live => {
@@ -263,13 +263,13 @@
             let head = Head { version: 1, phase: Phase::Open, rotated: false, ..s.head };
             then(&|n| (n.reopened, n.reopen) = (true, Some((s.head.mark, head))));
         }
-        if let Some((mark, head)) = s.reopen {
-            if mark == s.head.mark || !self.reopen_on_mark {
-                then(&|n| {
-                    n.reopen = None;
-                    n.put(head);
-                });
-            }
+        if let Some((mark, head)) = s.reopen
+            && (mark == s.head.mark || !self.reopen_on_mark)
+        {
+            then(&|n| {
+                n.reopen = None;
+                n.put(head);
+            });
         }
         out
     }
