--- a/src/spec.rs
+++ b/src/spec.rs
@@ -2,6 +2,9 @@
 
 use crate::settings::TeamSettings;
 use crate::units::{Micros, Room};
+use hazelsaddle_pact::record::{self, Key};
+use hazelsaddle_release::calendar::Stage;
+use hazelsaddle_release::says::Says;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::collections::BTreeMap;
@@ -66,6 +69,28 @@
     pub deadline: Option<Micros>,
     /// Jobs that must be done before any of its tasks starts: in order, each once.
     pub follows: Vec<String>,
+    /// The release that it belongs to.
+    pub release: Option<Says>,
+    /// The batch and version that it is a run of.
+    pub batch: Option<Batch>,
+    /// The batch and version that it may merge.
+    pub merges: Option<Batch>,
+}
+
+/// A batch and a version of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// The batch.
+    pub name: String,
+    /// Its version.
+    pub version: u64,
+}
+
+impl Batch {
+    /// The key of the batch's record.
+    pub fn key(&self) -> Option<Key> {
+        Key::new(record::Kind::Batch, &self.name).ok()
+    }
 }
 
 /// A machine type, as the cloud lists it.
@@ -114,6 +139,9 @@
     /// Malformed: the field and what is wrong with it.
     #[error("{0}: {1}")]
     Field(&'static str, &'static str),
+    /// The same for a member that has parts of its own.
+    #[error("{0}")]
+    Member(String),
     /// Malformed as a whole.
     #[error("{0}")]
     Body(&'static str),
@@ -150,6 +178,22 @@
         }
         Ok(x)
     }
+    fn release(&self) -> Result<Option<Says>, SpecError> {
+        let read = |v| Says::parse(v).map_err(|e| SpecError::Member(e.to_string()));
+        self.get("release").map(read).transpose()
+    }
+    fn batch(&self, key: &'static str) -> Result<Option<Batch>, SpecError> {
+        let Some(v) = self.get(key) else { return Ok(None) };
+        let wrong = |why| SpecError::Field(key, why);
+        let map = v.as_object().ok_or(wrong("must be an object"))?;
+        let name = map.get("name").and_then(Value::as_str).ok_or(wrong("name must be a string"))?;
+        let version = map.get("version").and_then(Value::as_u64);
+        let version = version.ok_or(wrong("version must be a whole number"))?;
+        if Key::new(record::Kind::Batch, name).is_err() {
+            return Err(wrong("name must be short, and have neither spaces, slashes nor control characters"));
+        }
+        Ok(Some(Batch { name: name.to_owned(), version }))
+    }
     fn flag(&self, key: &'static str) -> Result<bool, SpecError> {
         let v = self.get(key).ok_or(SpecError::Field(key, "is missing"))?;
         v.as_bool().ok_or(SpecError::Field(key, "must be true or false"))
@@ -216,6 +260,9 @@
         follows.dedup();
         Ok(Spec {
             follows,
+            release: f.release()?,
+            batch: f.batch("batch")?,
+            merges: f.batch("merges")?,
             id,
             class: f.text("breed")?,
             team: f.text("herd")?,
@@ -243,6 +290,16 @@
         self.priority % GUARANTEED >= 2 && self.checkpoint == Micros(0) && self.kind != Kind::Service
     }
 
+    /// Whether it names a pact: such jobs are taken only while every controller knows of pacts.
+    pub fn has_pact(&self) -> bool {
+        self.release.is_some() || self.batch.is_some() || self.merges.is_some()
+    }
+
+    /// Whether it is a rotation, which waits for its release.
+    pub fn rotates(&self) -> bool {
+        self.release.as_ref().is_some_and(|r| r.stage == Stage::Rotation)
+    }
+
     /// Whether the job can ever run here.
     pub fn check(&self, types: &Types, teams: &[TeamSettings]) -> Result<(), SpecError> {
         let never = |why: String| Err(SpecError::Impossible(why));
@@ -308,6 +365,39 @@
         }
     }
 
+    #[test]
+    fn malformed_pacts_are_named() {
+        let with = |key: &str, v: Value| {
+            let mut b = body();
+            b[key] = v;
+            Spec::from_value(&b)
+        };
+        let long = "x".repeat(120);
+        for (key, wrong) in [
+            ("release", json!("tonight")),
+            ("release", json!({"title": "t"})),
+            ("release", json!({"title": "t", "stage": "dance"})),
+            ("release", json!({"title": "a b", "stage": "render"})),
+            ("release", json!({"title": "", "stage": "render"})),
+            ("release", json!({"title": long, "stage": "render"})),
+            ("release", json!({"title": "t", "stage": "render", "night": "1-12-2026"})),
+            ("release", json!({"title": "t", "stage": "render", "night": 7})),
+            ("batch", json!({"name": "b"})),
+            ("batch", json!({"name": "b", "version": -1})),
+            ("batch", json!({"name": "b/c", "version": 1})),
+            ("merges", json!({"name": "", "version": 1})),
+            ("merges", json!([])),
+        ] {
+            let e = with(key, wrong.clone()).expect_err("malformed").to_string();
+            assert!(e.starts_with(key), "{wrong}: {e}");
+        }
+        let s = with("release", json!({"title": "t", "stage": "rotation", "night": "2026-12-01"}))
+            .expect("valid");
+        assert!(s.rotates() && s.has_pact());
+        assert_eq!(s.release.and_then(|r| r.key()).map(|k| k.head()), Some("pact/r/t@2026-12-01".into()));
+        assert!(with("batch", Value::Null).is_ok_and(|s| !s.has_pact()));
+    }
+
     #[test]
     fn jobs_that_can_never_run_are_told_so() {
         let g8 = MachineType {
