--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -99,6 +99,8 @@
     waits_for: BTreeSet<String>,
     /// What else holds it.
     hold: Option<Hold>,
+    /// When its release needs it, by the time of day.
+    due: Option<Micros>,
     /// When the last of those was known to be done.
     released_wall: Option<Micros>,
     /// Its priority by its own rank and its team's guarantee.
@@ -384,6 +386,7 @@
             next_write: Micros(0),
             waits_for: spec.follows.iter().cloned().collect(),
             hold: Hold::of(&spec, &raw),
+            due: None,
             released_wall: follow::released_at(&raw),
             rank: spec.priority,
             keeps: Vec::new(),
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -355,6 +355,13 @@
         list.into_iter().filter(|(_, rank)| *rank > 0).collect()
     }
 
+    /// When a job's release needs it, by the time of day.
+    pub fn due(&mut self, id: &str, at: Option<Micros>) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.due = at;
+        }
+    }
+
     /// What our held rotations wait for, and how urgent those are: the whole list.
     pub fn releases_need(&mut self, list: BTreeMap<String, u8>) {
         self.waiting.for_releases = list;
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -87,7 +87,7 @@
     /// earliest time promised for their class, those that can keep a later one, the rest; then by
     /// age. When there is far more work than room, arrays of one such group go by what they have
     /// left instead: being late with few large jobs beats being late with all.
-    pub(super) fn order(&self) -> Vec<String> {
+    pub fn order(&self) -> Vec<String> {
         let arrays =
             || self.jobs.values().filter(|j| j.spec.kind == Kind::Array && j.ending.is_none() && !j.waits());
         let work: u64 = arrays().map(|j| self.left(j)).sum();
@@ -99,7 +99,9 @@
             .filter(|(_, j)| j.ending.is_none() && !j.waits())
             .map(|(id, j)| {
                 let (late, left) = if j.spec.kind == Kind::Array { self.standing(j, queue) } else { (0, 0) };
-                ((std::cmp::Reverse(j.spec.priority), late, left, j.accepted_wall), id)
+                // Of two releases the one that is due first; whoever belongs to one goes before its equals.
+                let due = j.due.unwrap_or(Micros(u64::MAX));
+                ((std::cmp::Reverse(j.spec.priority), late, left, due, j.accepted_wall), id)
             })
             .collect();
         ids.sort_unstable();
@@ -121,6 +123,7 @@
         // Deadlines count from the submission, however long the job waited for others.
         let waited = j.ready_wall().since(j.accepted_wall);
         promised.extend(j.spec.deadline.map(|d| d.since(waited).0));
+        promised.extend(j.due.map(|d| d.since(j.ready_wall()).0));
         let late = promised.iter().filter(|&&p| soonest > p).count();
         let crowded = promised.iter().min().is_some_and(|&p| queue.0 > p / 2);
         (late.min(250) as u8, if crowded { self.left(j) } else { 0 })
--- a/src/node/release.rs
+++ b/src/node/release.rs
@@ -13,6 +13,7 @@
 use hazelsaddle_release::says::{self, Says};
 use hazelsaddle_release::set::{self, Member, Not, Release};
 use hazelsaddle_release::show::Shown;
+use hazelsaddle_release::stagger;
 use hazelsaddle_release::verdict::{Fact, Verdict, verdict};
 
 /// Open sets are counted so often, to close those that have all renders that were declared.
@@ -140,6 +141,7 @@
         if now >= self.releases.count_since + COUNT.max(Micros(self.census_took().0 * 10)) {
             self.releases.count_since = now;
         }
+        self.inherit_dues();
         let sets: Vec<(Key, Record)> = self
             .pacts
             .shelf
@@ -183,6 +185,22 @@
         self.releases.checked.retain(|k, _| live.contains(k));
     }
 
+    /// Rebuilds and renders of ours are due when their release is: of two titles, what is due first goes first.
+    fn inherit_dues(&mut self) {
+        let mut dues: BTreeMap<Key, Option<Micros>> = BTreeMap::new();
+        let members = self.owner.jobs.iter().filter(|(_, j)| !j.spec.rotates());
+        let members: Vec<(String, Key)> =
+            members.filter_map(|(id, j)| Some((id.clone(), j.spec.release.as_ref()?.key()?))).collect();
+        for (id, key) in members {
+            let shelf = &self.pacts.shelf;
+            let due = *dues.entry(key).or_insert_with_key(|key| match shelf.get(key) {
+                Held::Is(r) => stagger::of_set(&Release::read(r).ok()?, [])?.due.map(Micros),
+                _ => None,
+            });
+            self.owner.due(&id, due);
+        }
+    }
+
     /// What the keeper of a set does by itself.
     fn keep_release(&mut self, now: Micros, key: &Key, record: &Record, out: &mut Vec<Effect>) {
         let Ok(body) = Release::read(record) else { return };
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -117,6 +117,24 @@
     assert!(owner.replan && !owner.is_awaited(&id(7)) && owner.is_awaited(&id(8)));
 }
 
+/// What is due first for its release goes first, before its equals, and never before what is more urgent.
+#[test]
+fn what_a_release_needs_first_goes_first() {
+    let (m, mut owner) = parts();
+    for (n, rank) in [(1, "normal"), (2, "normal"), (3, "normal"), (4, "high")] {
+        add(&mut owner, &id(n), rank, &[]);
+    }
+    owner.due(&id(3), Some(Micros(4_000_000_000)));
+    owner.due(&id(2), Some(Micros(5_000_000_000)));
+    owner.keep(Vec::new(), Vec::new());
+    assert_eq!(owner.order(), [4, 3, 2, 1].map(id));
+    owner.due(&id(3), None);
+    assert_eq!(owner.order(), [4, 2, 1, 3].map(id));
+    assert!(owner.urges(0, &m).is_empty());
+    owner.releases_need([(id(1), 2)].into());
+    assert_eq!(owner.urges(0, &m), [(id(1), 2)]);
+}
+
 /// Urgency passes from the last job of a pipeline to its first, and goes with the job that lent it. Lists may
 /// be lost or repeated: the next one says the same.
 #[test]
--- a/tests/world/days/releases.rs
+++ b/tests/world/days/releases.rs
@@ -226,3 +226,48 @@
         assert_eq!(w.operate(n, &OpRequest::Releases).status, 404);
     }
 }
+
+/// Releases are offered while old controllers are replaced one after the other, and once more while an old one turns up
+/// later: they are taken only while all know of them, and an old one starts nothing that is held.
+#[test]
+fn releases_are_taken_once_no_old_controller_is_there() {
+    let mut taken = 0;
+    for seed in 5200..5215u64 {
+        let mut w = World::new(seed, Shape { jobs: 15, calendar: true, ..SMALL });
+        w.limited = [true; 3];
+        let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            plan(&mut w);
+            w.run(0, 20 * S);
+            let named = |w: &World| {
+                w.jobs.values().filter(|j| j.spec.release.is_some() && j.known != Known::Nothing).count()
+            };
+            for i in 0..3 {
+                assert_eq!(named(&w), 0, "taken while an old controller is there");
+                let n = (seed as usize + i) % 3;
+                w.limited[n] = false;
+                w.crash(n);
+                let next = w.now + w.rng.random_range(8 * S..15 * S);
+                w.run(0, next);
+            }
+            w.run(0, 120 * S);
+            taken += named(&w);
+            let n = seed as usize % 3;
+            w.limited[n] = true;
+            w.crash(n);
+            w.run(0, 160 * S);
+            w.limited[n] = false;
+            w.crash(n);
+            w.run(0, 560 * S);
+            for (id, j) in w.jobs.iter().filter(|(_, j)| !j.spec.rotates() && !j.refused) {
+                let over = j.known == Known::Done || (j.known == Known::Cancelled && j.cancel_asked);
+                assert!(over, "{id} is {:?}", j.known);
+            }
+        }));
+        if let Err(e) = r {
+            let states = w.states();
+            eprintln!("seed {seed}, at {:.3} s: {:#?} {states:#?}", w.now as f64 / 1e6, w.log);
+            std::panic::resume_unwind(e);
+        }
+    }
+    assert!(taken > 100, "{taken} taken");
+}
