--- a/crates/lab/src/cloud.rs
+++ b/crates/lab/src/cloud.rs
@@ -11,7 +11,7 @@
 /// Processors and gigabytes of a machine.
 pub const CPUS: u32 = 4;
 const RAM_GB: u32 = 16;
-/// Machines at the most.
+/// Machines at the most; twice those at the start, if that is more.
 const MOST: usize = 32;
 /// The list is so late.
 const LAG: Duration = Duration::from_secs(1);
@@ -30,14 +30,16 @@
     machines: BTreeMap<String, Machine>,
     hired: BTreeMap<String, Vec<String>>,
     next: u32,
+    most: usize,
     controllers: Vec<(String, SocketAddrV4)>,
     registry: Arc<Registry>,
 }
 
 impl Cloud {
     /// No machines yet. `controllers` are names and addresses of those whom workers report to.
-    pub fn new(controllers: Vec<(String, SocketAddrV4)>, registry: Arc<Registry>) -> Cloud {
-        Cloud { machines: BTreeMap::new(), hired: BTreeMap::new(), next: 0, controllers, registry }
+    pub fn new(controllers: Vec<(String, SocketAddrV4)>, registry: Arc<Registry>, first: usize) -> Cloud {
+        let most = MOST.max(2 * first);
+        Cloud { machines: BTreeMap::new(), hired: BTreeMap::new(), next: 0, most, controllers, registry }
     }
 
     /// A new machine, up after its boot.
@@ -121,7 +123,7 @@
                 if let Some(names) = self.hired.get(&hire) {
                     return (200, json!({"stalls": names}));
                 }
-                let room = MOST.saturating_sub(self.machines.len());
+                let room = self.most.saturating_sub(self.machines.len());
                 let count = (body["count"].as_u64().unwrap_or(0) as usize).min(room);
                 if count == 0 || body["borrowed"] == true {
                     return (503, json!({"error": "no capacity"}));
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -117,7 +117,8 @@
         ("retention", "silent_s = 5".to_owned()),
         ("copies", "heal_ms = 3".to_owned()),
     ];
-    let mut town = Town::start(program, &Size { workers: plan.workers, stores: 4, settings })?;
+    let mut town =
+        Town::start(program, &Size { workers: plan.workers, stores: 4, settings, ..Size::default() })?;
     let mut out = Outcome { seed: plan.seed, ..Outcome::default() };
     let mut jobs = Vec::new();
     for j in 0..3 + plan.workers / 3 {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod experiment;
 pub mod http;
 pub mod measure;
+pub mod releases;
 pub mod state;
 pub mod town;
+pub mod trial;
 pub mod worker;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,9 +1,10 @@
 //! The laboratory's command line.
 
 use clap::{Parser, Subcommand};
-use hazelsaddle::{daemon, settings::Settings};
+use hazelsaddle::{daemon, operators::Operators, settings::Settings};
 use hazelsaddle_lab::experiment::{self, Plan};
 use hazelsaddle_lab::measure;
+use hazelsaddle_lab::releases;
 use hazelsaddle_lab::town::{Size, Town};
 use hazelsaddle_lab::worker::Script;
 use hazelsaddle_logs::{cli, spool::Policy};
@@ -36,6 +37,8 @@
     Controller {
         #[arg(long)]
         config: String,
+        #[arg(long)]
+        operators: Option<String>,
     },
     #[command(hide = true)]
     Store {
@@ -68,6 +71,22 @@
         #[arg(long)]
         json: bool,
     },
+    /// Rebuilds, renders and rotations of many titles, while controllers and machines are killed and controllers come back at
+    /// once. Exits with 1 if a rotation starts early, an accepted render isn't waited for, or anything is lost or held for ever.
+    Releases {
+        /// Where all chance comes from.
+        #[arg(long)]
+        seed: u64,
+        /// Machines at the start.
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u32).range(4..=60))]
+        machines: u32,
+        /// Controllers and machines killed.
+        #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u32).range(0..=60))]
+        kills: u32,
+        /// One JSON document and nothing else.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 #[derive(Subcommand)]
@@ -104,7 +123,7 @@
 }
 
 fn up(stay: bool) -> Result<(), Box<dyn std::error::Error>> {
-    let town = Town::start(&std::env::current_exe()?, &Size { workers: 3, stores: 3, settings: Vec::new() })?;
+    let town = Town::start(&std::env::current_exe()?, &Size { workers: 3, stores: 3, ..Size::default() })?;
     let shown =
         |a: &[std::net::SocketAddrV4]| a.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
     println!("controllers  {}", shown(&town.api));
@@ -196,6 +215,20 @@
                 Err(e) => failed(e),
             }
         }
+        Action::Experiment(Experiment::Releases { seed, machines, kills, json }) => {
+            logging(if json { "error" } else { "info" });
+            let program = match std::env::current_exe() {
+                Ok(p) => p,
+                Err(e) => return failed(e.into()),
+            };
+            match releases::releases(&program, seed, machines as usize, kills as usize) {
+                Ok(out) => {
+                    println!("{}", serde_json::to_string(&out).unwrap_or_default());
+                    if out.holds() { ExitCode::SUCCESS } else { ExitCode::from(1) }
+                }
+                Err(e) => failed(e),
+            }
+        }
         Action::Measure(m) => {
             logging("error");
             printed(match m {
@@ -207,11 +240,18 @@
                 Measure::Memory { attempts } => measure::memory(&attempts),
             })
         }
-        Action::Controller { config } => {
+        Action::Controller { config, operators } => {
             logging("info");
-            match Settings::load(&config) {
+            let load = || -> Result<Settings, Box<dyn std::error::Error>> {
+                let mut s = Settings::load(&config)?;
+                if let Some(file) = &operators {
+                    s.operators = Operators::load(file)?;
+                }
+                Ok(s)
+            };
+            match load() {
                 Ok(s) => daemon::run(s).map_or_else(|e| failed(e.into()), |()| ExitCode::SUCCESS),
-                Err(e) => failed(e.into()),
+                Err(e) => failed(e),
             }
         }
         Action::Store { config } => {
--- a/crates/lab/src/state.rs
+++ b/crates/lab/src/state.rs
@@ -74,13 +74,20 @@
         }
     }
 
+    /// All changes that are kept, in order: revision, key, value.
+    pub fn history(&self) -> impl Iterator<Item = (u64, &str, Option<&Value>)> {
+        self.changes.iter().map(|(at, k, v)| (*at, k.as_str(), v.as_ref()))
+    }
+
     /// What a watch has to tell: None while there is nothing.
     pub fn news(&self, prefix: &str, after: u64) -> Option<StoreAnswer> {
         if self.kept_after > after {
             return Some(StoreAnswer::TooOld);
         }
         let told = |c: &&(u64, String, Option<Value>)| c.0 > after && c.1.starts_with(prefix);
-        let mut events = self.changes.iter().filter(told).peekable();
+        // In order of revisions: what is older need not be looked at, however much is kept.
+        let first = self.changes.partition_point(|c| c.0 <= after);
+        let mut events = self.changes.range(first..).filter(told).peekable();
         events.peek()?;
         let written = events.filter_map(|(_, k, v)| Some((k.clone(), v.clone()?))).collect();
         Some(StoreAnswer::Changes(self.revision, written))
--- a/crates/lab/src/town.rs
+++ b/crates/lab/src/town.rs
@@ -7,6 +7,7 @@
 use crate::worker::{Registry, Script};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::ffi::OsStr;
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -19,7 +20,7 @@
 const LEASE_S: f64 = 9.0;
 
 /// How large a deployment is.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Size {
     /// Machines at the start.
     pub workers: usize,
@@ -27,12 +28,17 @@
     pub stores: usize,
     /// Lines to add to the stores' settings, by section.
     pub settings: Vec<(&'static str, String)>,
+    /// The operators' settings of the controllers, as INI.
+    pub operators: String,
+    /// Whether the state service keeps every change, for an account of what was on record when.
+    pub keep_all: bool,
 }
 
 struct Process {
     child: Option<Child>,
     verb: &'static str,
     config: PathBuf,
+    operators: Option<PathBuf>,
 }
 
 /// The deployment.
@@ -51,6 +57,8 @@
     pub cloud: cloud::Shared,
     /// What workers share.
     pub registry: Arc<Registry>,
+    /// What the state service holds.
+    pub state: Arc<Mutex<State>>,
     /// Set while the state service is away.
     pub state_away: Arc<AtomicBool>,
     ended: Arc<AtomicBool>,
@@ -72,17 +80,23 @@
         let (links, peers, doors) = (ports(size.stores)?, ports(size.stores)?, ports(size.stores)?);
         let (state_at, cloud_at) = (free_port()?, free_port()?);
         let state = Arc::new(Mutex::new(State::new()));
-        state_service(state_at, state, state_away.clone(), ended.clone())?;
+        if size.keep_all {
+            lock(&state).keep = usize::MAX;
+        }
+        let seen = state.clone();
+        state_service(state_at, state.clone(), state_away.clone(), ended.clone())?;
         let registry = Arc::new(Registry {
             scripts: Mutex::new(BTreeMap::new()),
             written: Mutex::new(BTreeMap::new()),
+            ran: Mutex::new(Vec::new()),
+            revision: Box::new(move || lock(&seen).revision),
             stores: links.clone(),
             scratch: folder.path().to_owned(),
             report: Duration::from_secs_f64(REPORT_S),
             lease: Duration::from_secs_f64(LEASE_S),
         });
         let named = api.iter().enumerate().map(|(i, a)| (format!("c{i}"), *a)).collect();
-        let cloud: cloud::Shared = Arc::new(Mutex::new(Cloud::new(named, registry.clone())));
+        let cloud: cloud::Shared = Arc::new(Mutex::new(Cloud::new(named, registry.clone(), size.workers)));
         let shared = cloud.clone();
         serve(cloud_at, 4, ended.clone(), move |m, u, b| cloud::handle(&shared, m, u, b))?;
         let mut town = Town {
@@ -94,6 +108,7 @@
             links,
             cloud,
             registry,
+            state,
             state_away,
             ended,
             folder,
@@ -102,9 +117,13 @@
             let text = store_settings(i, town.folder.path(), size, &town.links, &peers, &town.doors);
             town.stores.push(town.process("store", &format!("s{i}.ini"), &text)?);
         }
+        let operators = town.folder.path().join("operators.ini");
+        std::fs::write(&operators, &size.operators)?;
         for i in 0..3 {
             let text = controller_settings(i, &town.api, &back, state_at, cloud_at);
-            town.controllers.push(town.process("controller", &format!("c{i}.toml"), &text)?);
+            let mut p = town.process("controller", &format!("c{i}.toml"), &text)?;
+            p.operators = (!size.operators.is_empty()).then(|| operators.clone());
+            town.controllers.push(p);
         }
         for i in 0..3 {
             town.start_controller(i)?;
@@ -121,7 +140,7 @@
     fn process(&self, verb: &'static str, name: &str, text: &str) -> std::io::Result<Process> {
         let config = self.folder.path().join(name);
         std::fs::write(&config, text)?;
-        Ok(Process { child: None, verb, config })
+        Ok(Process { child: None, verb, config, operators: None })
     }
     fn run(program: &Path, p: &mut Process) -> std::io::Result<()> {
         let log =
@@ -130,6 +149,7 @@
             .arg(p.verb)
             .arg("--config")
             .arg(&p.config)
+            .args(p.operators.iter().flat_map(|o| [OsStr::new("--operators"), o.as_os_str()]))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -211,11 +231,7 @@
     /// # Errors
     /// If it is refused for good, or not accepted within a minute.
     pub fn submit(&self, id: &str, tasks: u32, script: Script) -> Result<(), String> {
-        let body = json!({"uid": id, "breed": "lab", "herd": script.team, "gait": "batch", "rank": "normal",
-            "strides": tasks, "vcpus": script.cpus, "cards": 0, "ramGb": 0.5, "tack": "img", "imageGb": 0.1,
-            "breedsOfStall": null, "paddock": null, "together": false, "scatter": false, "borrowed": false,
-            "rideS": 5.0, "restS": 0.0, "unsaddleS": 0.0, "dueS": null})
-        .to_string();
+        let body = description(id, tasks, &script).to_string();
         lock(&self.registry.scripts).insert(id.to_owned(), script);
         let begun = Instant::now();
         let mut last = String::new();
@@ -260,6 +276,15 @@
     }
 }
 
+/// A job as its user describes it.
+#[must_use]
+pub fn description(id: &str, tasks: u32, script: &Script) -> Value {
+    json!({"uid": id, "breed": "lab", "herd": script.team, "gait": "batch", "rank": "normal",
+        "strides": tasks, "vcpus": script.cpus, "cards": 0, "ramGb": 0.5, "tack": "img", "imageGb": 0.1,
+        "breedsOfStall": null, "paddock": null, "together": false, "scatter": false, "borrowed": false,
+        "rideS": 5.0, "restS": 0.0, "unsaddleS": 0.0, "dueS": null})
+}
+
 impl Drop for Town {
     fn drop(&mut self) {
         lock(&self.cloud).end();
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -50,13 +50,30 @@
     pub files: Vec<(String, u64, String)>,
 }
 
+/// An attempt of a task, as it ran.
+#[derive(Clone, Debug)]
+pub struct Ran {
+    /// Its job, task and attempt.
+    pub of: AttemptKey,
+    /// When it was started, and the state service's revision then.
+    pub at: Instant,
+    /// See `at`.
+    pub revision: u64,
+    /// When it ended, and whether it was done.
+    pub end: Option<(Instant, bool)>,
+}
+
 /// What workers share: scripts, stores, and the account of all attempts.
 pub struct Registry {
     /// Scripts by job.
     pub scripts: Mutex<BTreeMap<String, Script>>,
     /// What all attempts wrote.
     pub written: Mutex<BTreeMap<AttemptKey, Written>>,
-    /// Shipper addresses of the stores.
+    /// All attempts that ran.
+    pub ran: Mutex<Vec<Ran>>,
+    /// The state service's revision.
+    pub revision: Box<dyn Fn() -> u64 + Send + Sync>,
+    /// Shipper addresses of the stores; none: tasks write nothing.
     pub stores: Vec<SocketAddrV4>,
     /// For files before they are shipped.
     pub scratch: PathBuf,
@@ -276,8 +293,20 @@
             if let (None, Some(script), Ok(of)) = (refused, script, of) {
                 let (registry, client, dead, inner) =
                     (registry.clone(), client.clone(), dead.clone(), inner.clone());
+                let number = {
+                    let ran = Ran {
+                        of: of.clone(),
+                        at: Instant::now(),
+                        revision: (registry.revision)(),
+                        end: None,
+                    };
+                    let mut all = lock(&registry.ran);
+                    all.push(ran);
+                    all.len() - 1
+                };
                 std::thread::spawn(move || {
                     let cause = run(&of, &script, &registry, client, &stop, &dead, &inner, &shipper);
+                    lock(&registry.ran)[number].end = Some((Instant::now(), cause == "done"));
                     *lock(&ended) = Some(cause);
                 });
             }
@@ -306,6 +335,15 @@
     inner: &Mutex<Inner>,
     slot: &Slot,
 ) -> &'static str {
+    if registry.stores.is_empty() {
+        let mut n = 0;
+        while n < script.lines && !stop.load(Ordering::Relaxed) {
+            std::thread::sleep(script.pause);
+            n += script.burst;
+        }
+        let done = n >= script.lines && !dead.load(Ordering::Relaxed) && !stop.load(Ordering::Relaxed);
+        return if done { "done" } else { "stopped" };
+    }
     let spool = SpoolOptions { policy: script.policy, bytes: script.spool, chunk: 16 << 10, linger: 50_000 };
     let token = of.place() ^ 0x5eed;
     let s = Arc::new(Shipper::start(
