Takeovers: machines taken back known by the cloud's word, unheard ones asked directly

Every job waited for machines that had been returned before all controllers restarted; each further restart began their leases anew. Change: the decider returns what nobody hears and the list names no more, which is certain once answered. Machines that have yet to show the token are told it directly. Jobs in doubt ask for room. Frames that a newer one says again give up their place in a peer's queue.

--- a/crates/base/src/link.rs
+++ b/crates/base/src/link.rs
@@ -1,21 +1,19 @@
 //! Links between processes: framed TCP, each frame an `rkyv` archive with its length (4 bytes, little-endian) in
 //! front, validated on arrival. A link carries frames one way; who wants an answer is dialled in turn.
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use crate::line::{Line, line};
 use rkyv::api::high::{HighDeserializer, HighSerializer, HighValidator};
 use rkyv::bytecheck::CheckBytes;
 use rkyv::rancor::Error;
 use rkyv::ser::allocator::ArenaHandle;
 use rkyv::util::AlignedVec;
 use rkyv::{Archive, Deserialize, Serialize};
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::time::Duration;
 
 /// Longest frame taken.
 pub const FRAME_LIMIT: usize = 4 << 20;
-/// Frames that wait for a slow peer; more are dropped.
-const QUEUE: usize = 64;
 /// Peer connections taken at a time, so that a stray client can't use up threads.
 const LINKS: usize = 64;
 
@@ -48,14 +46,22 @@
     fn encode(&self) -> Option<Vec<u8>>;
     /// Reads the bytes behind the length; None if they are no valid frame.
     fn decode(bytes: &[u8]) -> Option<Self>;
+    /// Whether a receiver of this frame has no use for an older one that still waits.
+    fn replaces(&self, _older: &Self) -> bool {
+        false
+    }
 }
 
 /// Starts a thread that keeps a connection to one peer and sends it frames. It ends when the sender is dropped.
-pub fn dial<F: Framed>(addr: SocketAddrV4) -> Sender<F> {
-    let (tx, rx): (Sender<F>, Receiver<F>) = bounded(QUEUE);
+pub fn dial<F: Framed>(addr: SocketAddrV4) -> Line<F> {
+    let (tx, rx) = line::<F>();
     std::thread::spawn(move || {
         let mut link: Option<TcpStream> = None;
-        while let Ok(frame) = rx.recv() {
+        while let Some(frame) = rx.take() {
+            // A peer that was replaced a moment ago: what is written to the old one is lost without a word.
+            if link.as_ref().is_some_and(ended) {
+                link = None;
+            }
             if link.is_none() {
                 link = TcpStream::connect_timeout(&addr.into(), Duration::from_millis(500)).ok();
                 if let Some(l) = &link {
@@ -65,7 +71,7 @@
                 }
                 // What waited while there was no link is stale: states follow anyway.
                 if link.is_none() {
-                    while rx.try_recv().is_ok() {}
+                    rx.clear();
                     std::thread::sleep(Duration::from_millis(200));
                     continue;
                 }
@@ -81,15 +87,21 @@
 }
 
 /// Puts a frame on a peer's queue, or drops it if the queue is full. Returns whether it was taken.
-pub fn enqueue<F>(tx: &Sender<F>, frame: F) -> bool {
-    match tx.try_send(frame) {
-        Ok(()) => true,
-        Err(TrySendError::Full(_)) => {
-            tracing::debug!("a peer's queue is full; frame dropped");
-            false
-        }
-        Err(TrySendError::Disconnected(_)) => false,
+pub fn enqueue<F: Framed>(tx: &Line<F>, frame: F) -> bool {
+    let taken = tx.put(frame);
+    if !taken {
+        tracing::debug!("a peer's queue is full; frame dropped");
     }
+    taken
+}
+
+/// Whether the other side has ended a link. It never says anything on it, so all that can be read is the end.
+fn ended(link: &TcpStream) -> bool {
+    if link.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let nothing = matches!(link.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+    link.set_nonblocking(false).is_err() || !nothing
 }
 
 /// Reads the next frame's bytes into `buffer`. False when the link has ended, or its next frame is longer than
@@ -155,3 +167,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The first frames to a process that was back at once went into the connection of the one before it.
+    #[test]
+    fn a_link_that_the_other_side_has_ended_is_known_before_it_is_written_to() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let ours = TcpStream::connect(listener.local_addr().expect("an address")).expect("a link");
+        let (theirs, _) = listener.accept().expect("the other side");
+        assert!(!ended(&ours) && !ended(&ours));
+        drop(theirs);
+        assert!((0..10_000).any(|_| {
+            std::thread::yield_now();
+            ended(&ours)
+        }));
+    }
+}
--- a/crates/logs/src/serve.rs
+++ b/crates/logs/src/serve.rs
@@ -8,6 +8,7 @@
 use crate::shelf::{Shelf, ShelfError};
 use crate::wire::{Ack, Answer, Frame, Request};
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use hazelsaddle_base::line::Line;
 use hazelsaddle_base::link::{self, Framed};
 use hazelsaddle_base::units::Micros;
 use std::collections::HashMap;
@@ -372,7 +373,7 @@
     let clock = || Micros(1_000_000 + begun.elapsed().as_micros() as u64);
     let mut shippers: HashMap<Ticket, Sender<Answer>> = HashMap::new();
     let mut readers: HashMap<Ticket, tiny_http::Request> = HashMap::new();
-    let mut links: HashMap<String, (String, Sender<Frame>)> = HashMap::new();
+    let mut links: HashMap<String, (String, Line<Frame>)> = HashMap::new();
     let mut out = Vec::new();
     loop {
         let mut next = rx.recv_timeout(Duration::from_millis(20)).ok();
@@ -431,7 +432,7 @@
 }
 
 /// Sends what is meant for other stores, and keeps the rest.
-fn send(node: &Node, links: &mut HashMap<String, (String, Sender<Frame>)>, out: &mut Vec<Effect>) {
+fn send(node: &Node, links: &mut HashMap<String, (String, Line<Frame>)>, out: &mut Vec<Effect>) {
     for effect in std::mem::take(out) {
         let Effect::Send(to, frame) = effect else {
             out.push(effect);
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,7 +1,7 @@
 //! The HTTP edge: what users, workers, health probes and operators send, checked before it reaches
 //! the controller's own thread.
 
-use crate::machines::Report;
+use crate::machines::{Greeting, Report};
 use crate::node::Event;
 use crate::peer::{Reply, UserRequest};
 use crate::spec::{BODY_LIMIT, Spec, SpecError, is_job_id};
@@ -98,6 +98,33 @@
     crate::store::call(&agent, "GET", &format!("http://{addr}/inspect"), None).is_some_and(|(s, _)| s == 200)
 }
 
+/// A client for [`greet`]. A machine that is there answers at once; one that is not must not hold up the others.
+pub fn greeter() -> ureq::Agent {
+    let ms = std::time::Duration::from_millis;
+    ureq::AgentBuilder::new()
+        .timeout_connect(ms(300))
+        .timeout(ms(1000))
+        .max_idle_connections(0)
+        .redirects(0)
+        .build()
+}
+
+/// Tells a worker the token, without any command; its report, if it answers. One whose lease has run out in between is
+/// in another session than was thought, and says so.
+pub fn greet(agent: &ureq::Agent, epoch: u64, g: &Greeting) -> Option<Report> {
+    let mut session = g.session;
+    for _ in 0..2 {
+        let body = serde_json::json!({"rein": epoch, "ride": session, "calls": []}).to_string();
+        let (_, text) = crate::store::call(agent, "POST", &format!("http://{}/do", g.addr), Some(body))?;
+        let r: Report = serde_json::from_str(&text).ok()?;
+        if r.token >= epoch || r.session == session {
+            return Some(r);
+        }
+        session = r.session;
+    }
+    None
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,12 +2,14 @@
 
 use crate::api::{self, Parsed};
 use crate::fleet::{CloudClient, CloudRequest};
+use crate::machines::Greeting;
 use crate::node::{Effect, Event, Node};
 use crate::peer::{self, Frame, Reply};
 use crate::settings::Settings;
 use crate::store::{StoreClient, StoreRequest};
 use crate::units::Micros;
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use hazelsaddle_base::line::Line;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -17,6 +19,8 @@
 const READERS: usize = 4;
 /// Threads that wait for the state service.
 const STORE_THREADS: usize = 4;
+/// Threads that ask machines directly.
+const GREETERS: usize = 6;
 /// How long an answer of the state service is waited for, beside the time that a watch stays open.
 const STORE_PATIENCE: Duration = Duration::from_millis(2000);
 /// Events that wait for the controller's thread; requests beyond that are turned away at once.
@@ -111,7 +115,7 @@
         std::thread::spawn(move || reader(server, tickets, tx, first));
     }
 
-    let links: HashMap<usize, Sender<Frame>> = settings
+    let links: HashMap<usize, Line<Frame>> = settings
         .seeds
         .iter()
         .filter_map(|s| {
@@ -161,6 +165,27 @@
         }
     });
 
+    // Dead ones cost a wait each, so there are several threads; they have nothing to do but after an epoch.
+    let (greet_tx, greet_rx) = unbounded::<(u64, Greeting)>();
+    let newest = Arc::new(AtomicU64::new(0));
+    for _ in 0..GREETERS {
+        let (tx, line, newest) = (tx.clone(), greet_rx.clone(), newest.clone());
+        std::thread::spawn(move || {
+            let agent = api::greeter();
+            while let Ok((epoch, g)) = line.recv() {
+                // What was asked for an older epoch would say nothing.
+                if epoch < newest.load(Ordering::Relaxed) {
+                    continue;
+                }
+                if let Some(r) = api::greet(&agent, epoch, &g)
+                    && tx.send(Inbound::Event(Event::Greeted(r))).is_err()
+                {
+                    return;
+                }
+            }
+        });
+    }
+
     tracing::info!(member = %settings.member, zone = %settings.zone, api = %settings.api, back = %settings.back, "started");
     let boot: u64 = rand::random::<u64>() >> 12;
     let mut node = Node::new(settings, boot);
@@ -207,6 +232,12 @@
                 Effect::Probe(addresses) => {
                     let _ = probe_tx.try_send(addresses);
                 }
+                Effect::Greet(epoch, list) => {
+                    newest.store(epoch, Ordering::Relaxed);
+                    for g in list {
+                        let _ = greet_tx.send((epoch, g));
+                    }
+                }
                 Effect::Reply(ticket, r) => {
                     if let Some(request) = open.remove(&ticket) {
                         answer(request, r);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -12,6 +12,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+mod absent;
+
 /// Most machines in one rental.
 const RENT_LIMIT: u32 = 50;
 /// Most names in one return.
@@ -223,6 +225,7 @@
     guaranteed: i64,
     /// A machine that has been silent for longer is given back.
     silence: Micros,
+    list_lag: Micros,
     next_plan: Micros,
     next_note: Micros,
     /// Rented machines that are not counted on any more.
@@ -261,6 +264,7 @@
             guaranteed: s.teams.iter().map(|t| Room::need(t.cpus, 0.0, 0.0).cpus).sum(),
             // By then its tasks' lease has run out, and one that only hung had time to come back.
             silence: Micros(s.worker_lease.0 * 2),
+            list_lag: s.list_lag,
             next_plan: Micros(0),
             next_note: Micros(0),
             overdue: BTreeSet::new(),
@@ -453,6 +457,7 @@
         let there = || machines.values().filter(|d| d.standing != Standing::Gone);
         let quiet = there().all(|d| d.busy == 0 && d.idle_for(now) > Micros::from_millis(20_000));
         let mut drain = BTreeSet::new();
+        let up_to = self.listed_up_to();
         for d in machines.values() {
             if d.standing == Standing::Gone || self.gone.contains_key(&d.name) {
                 continue;
@@ -471,7 +476,8 @@
             } else {
                 Micros(boot * 3 / 4)
             };
-            if failed || d.silent_for(now) > self.silence {
+            // Whoever waits for one that is there no more has the cloud's word in a moment.
+            if failed || d.silent_for(now) > self.silence || self.absent(d, up_to) {
                 out.push(d.name.clone());
             } else if rebuilt
                 && (self.spare.contains(&d.name)
@@ -899,7 +905,7 @@
             txn_ops = 8\n[settings.cloud]\nrps = 8.0\nlist_lag_s = 8.0\n";
         Settings::parse("test", text).expect("valid")
     }
-    fn fleet(shapes: Vec<Demand>) -> Fleet {
+    pub(super) fn fleet(shapes: Vec<Demand>) -> Fleet {
         let mut f = Fleet::new(1, &settings());
         for t in [kind("small", 4.0), kind("large", 32.0)] {
             f.types.insert(t.name.clone(), t);
@@ -923,7 +929,7 @@
         assert_eq!(f.kept, Vec::new());
     }
 
-    fn machine(i: usize, kind: &str, free: f64, total: f64) -> Seen {
+    pub(super) fn machine(i: usize, kind: &str, free: f64, total: f64) -> Seen {
         let d = crate::peer::MachineDigest {
             name: format!("i-{i:03}"),
             kind: kind.into(),
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -3,6 +3,7 @@
 pub use plan::headroom;
 
 mod blame;
+mod doubted;
 mod follow;
 mod handover;
 mod plan;
@@ -173,6 +174,7 @@
     blame: Blame,
     waiting: Waiting,
     demands: Vec<Demand>,
+    doubted: doubted::Doubted,
     gang_wait: Micros,
     objectives: Vec<Objective>,
     /// What each team is guaranteed, of those that are guaranteed anything.
@@ -231,6 +233,7 @@
             blame: Blame::default(),
             waiting: Waiting::default(),
             demands: Vec::new(),
+            doubted: doubted::Doubted::default(),
             gang_wait: s.gang_wait,
             objectives: s.objectives.clone(),
             guaranteed: s
@@ -319,6 +322,7 @@
         self.doubts.keep(&used.collect());
         self.dirty.fill(true);
         self.demands.clear();
+        self.doubted = doubted::Doubted::default();
         self.reserved.clear();
         self.others.clear();
     }
@@ -591,18 +595,18 @@
         Settings::parse("test", text).expect("valid")
     }
 
-    fn raw(kind: &str, tasks: u32, checkpoint: f64) -> Value {
+    pub(super) fn raw(kind: &str, tasks: u32, checkpoint: f64) -> Value {
         json!({"uid":"wk-1","breed":"b","herd":"t","gait":kind,"rank":"high","strides":tasks,"vcpus":2.0,
             "cards":0,"ramGb":1.0,"tack":"i","imageGb":1,"together":true,"scatter":false,"borrowed":true,
             "rideS":1,"restS":checkpoint,"unsaddleS":5.0})
     }
 
-    fn whole(m: &Membership, seq: u64, rev_seen: u64, machines: Vec<MachineDigest>) -> Digest {
+    pub(super) fn whole(m: &Membership, seq: u64, rev_seen: u64, machines: Vec<MachineDigest>) -> Digest {
         Digest { seq: (m.epoch << 32) + seq, since: 0, rev_seen, machines }
     }
 
     /// An owner of one job, and one machine with room as its home describes it.
-    fn owner_of(raw: Value) -> (Membership, Teams, Owner, MachineDigest) {
+    pub(super) fn owner_of(raw: Value) -> (Membership, Teams, Owner, MachineDigest) {
         let s = settings();
         let mut m = Membership::new(&s, 1);
         m.adopt(Micros(1), &EpochRecord { epoch: 1, members: vec![("c0".into(), 1)] }, 1);
@@ -722,7 +726,7 @@
         assert!(likely(&ran, &s) < Micros::from_millis(21_000));
     }
 
-    fn running(key: &TaskKey) -> Actual {
+    pub(super) fn running(key: &TaskKey) -> Actual {
         Actual { key: key.clone(), phase: Phase::Running }
     }
 
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -471,6 +471,7 @@
             }
         }
         self.reclaim(now, &places, short);
+        self.count_doubted(now, wall, teams, m, &views, &mut places);
         drop(places);
         self.views = views;
     }
@@ -646,7 +647,8 @@
 
     /// What finds no room, for the decider.
     pub fn demands(&self) -> Vec<Demand> {
-        self.demands.iter().chain(self.shapes.iter().map(|(d, _)| d)).cloned().collect()
+        let waiting = self.demands.iter().chain(&self.doubted.demands);
+        waiting.chain(self.shapes.iter().map(|(d, _)| d)).cloned().collect()
     }
 }
 
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -8,8 +8,11 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+mod greet;
 mod handover;
 
+pub use greet::Greeting;
+
 /// A worker's report.
 #[derive(Deserialize, Clone, Debug, PartialEq)]
 pub struct Report {
@@ -183,6 +186,8 @@
     /// epoch says. One that stays ours keeps the word of the epoch in which it became ours, or its lease would
     /// begin anew with each.
     answered: Option<Micros>,
+    /// How often it was asked directly in this epoch, and when last.
+    greeted: (u8, Micros),
     notice_at: Option<Micros>,
     entries: BTreeMap<TaskKey, Entry>,
     draining: bool,
@@ -298,6 +303,7 @@
         self.next_tick = Micros(0);
         for (name, x) in &mut self.machines {
             self.changes.touch(name, &mut x.version);
+            x.greeted = (0, Micros(0));
             // What was being written for the last epoch fails, and its answer tells nobody.
             if x.record == Record::Asked {
                 x.record = Record::No;
@@ -825,6 +831,7 @@
             heard_at: now,
             reported: false,
             answered: None,
+            greeted: (0, Micros(0)),
             notice_at: None,
             entries: BTreeMap::new(),
             draining: false,
@@ -868,9 +875,9 @@
     use super::*;
     use crate::ring::EpochRecord;
 
-    const ROOM: Room = Room { cpus: 4000, gpus: 0, memory: 8000 };
+    pub(super) const ROOM: Room = Room { cpus: 4000, gpus: 0, memory: 8000 };
 
-    fn setup() -> (Membership, Home) {
+    pub(super) fn setup() -> (Membership, Home) {
         let text = "member = \"c0\"\napi_addr = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n[outside]\ncloud = \"10.0.0.9:1\"\n\
             state = \"10.0.0.9:2\"\n[settings.workers]\nreport_s = 3.0\nlease_s = 18.0\ngang_wait_s = 30.0\n\
             gang_peer_s = 6.0\ncancel_s = 43.0\n[settings.state]\nrps = 100.0\nwrite_rps = 15.0\nvalue_kb = 4.0\n\
@@ -880,7 +887,7 @@
         m.adopt(Micros(1), &EpochRecord { epoch: 7, members: vec![("c0".into(), 1)] }, 1);
         (m, Home::new(&s))
     }
-    fn report(seq: u64, token: u64, tasks: &[(&str, u64, &str)]) -> Report {
+    pub(super) fn report(seq: u64, token: u64, tasks: &[(&str, u64, &str)]) -> Report {
         let tasks = tasks
             .iter()
             .map(|(task, attempt, state)| ReportedTask {
@@ -904,7 +911,7 @@
             tasks,
         }
     }
-    fn want(attempt: u64, cpus: i64) -> Wanted {
+    pub(super) fn want(attempt: u64, cpus: i64) -> Wanted {
         Wanted {
             key: TaskKey { job: "wk-1".into(), index: 0, attempt },
             machine: "i-1".into(),
@@ -914,14 +921,14 @@
             image: 0,
         }
     }
-    fn whole(rev: u64, list: Vec<Wanted>) -> Wishes {
+    pub(super) fn whole(rev: u64, list: Vec<Wanted>) -> Wishes {
         Wishes { rev, since: 0, list, dropped: Vec::new() }
     }
-    fn starts(home: &mut Home, m: &Membership) -> usize {
+    pub(super) fn starts(home: &mut Home, m: &Membership) -> usize {
         let orders = home.orders(m, "i-1", |_| true).expect("known");
         orders.commands.iter().filter(|c| c.op == "run").count()
     }
-    fn ready() -> (Membership, Home) {
+    pub(super) fn ready() -> (Membership, Home) {
         let (m, mut home) = setup();
         assert_eq!(home.report(Micros(10), &m, &report(1, 7, &[])), Verdict::Taken);
         home.on_record("i-1");
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,6 +4,7 @@
 
 mod epochs;
 mod follow;
+mod greet;
 mod handover;
 mod links;
 mod records;
@@ -17,7 +18,7 @@
 use self::witness::Witness;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
-use crate::machines::{Home, Report, Verdict};
+use crate::machines::{Greeting, Home, Report, Verdict};
 use crate::peer::{Frame, Message, Reply, UserRequest, Wishes};
 use crate::ring::aside::{Aside, Strays};
 use crate::ring::{EpochRecord, Membership};
@@ -65,6 +66,8 @@
     Cloud(CloudRequest, CloudAnswer),
     /// Whether one of the workers that were to be probed has answered.
     Probed(bool),
+    /// What a worker answered that was asked directly.
+    Greeted(Report),
     /// The process is to end: hand everything on and leave the ring.
     Leave,
     /// Only time has passed.
@@ -84,6 +87,8 @@
     Cloud(CloudRequest),
     /// Find out whether a worker at one of these addresses answers.
     Probe(Vec<String>),
+    /// Tell these workers the token, without any command, and bring back their reports.
+    Greet(u64, Vec<Greeting>),
 }
 
 /// Who waits for an answer.
@@ -217,6 +222,7 @@
     owe_ack: Vec<bool>,
     sent_demands: Micros,
     next_plan: Micros,
+    next_greeting: Micros,
     wall: Micros,
     was_acting: bool,
     /// Reports whose answer waits a little, by machine, and the order in which they came.
@@ -272,6 +278,7 @@
             owe_ack: vec![false; n],
             sent_demands: Micros(0),
             next_plan: Micros(0),
+            next_greeting: Micros(0),
             wall: Micros(0),
             was_acting: false,
             held: BTreeMap::new(),
@@ -317,6 +324,7 @@
                 }
             }
             Event::Probed(reached) => self.aside.probed(reached),
+            Event::Greeted(r) => self.greeted(now, &r),
             Event::Leave => self.handover.leave(now),
             Event::Tick => {}
         }
@@ -399,6 +407,7 @@
             out.push(Effect::Cloud(r));
         }
         self.follow_loop(now, out);
+        self.greet(now, out);
         self.membership.note_stopped(now);
         self.vouch(now, out);
         self.say(now, out);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -510,6 +510,24 @@
     fn decode(bytes: &[u8]) -> Option<Frame> {
         Frame::decode(bytes)
     }
+    /// What holds all that changed since the state which its receiver said it has covers what was said before it, and so
+    /// does a list that is sent whole. Parcels, requests, answers and strays are said once.
+    fn replaces(&self, older: &Frame) -> bool {
+        use Message::*;
+        let newer = self.boot == older.boot && self.epoch >= older.epoch;
+        newer
+            && match (&self.body, &older.body) {
+                (State(w, d), State(old, from)) => {
+                    self.epoch > older.epoch || (w.rev >= old.rev && d.seq >= from.seq)
+                }
+                (Vouch { rev, .. }, Vouch { rev: old, .. }) | (Noted(rev), Noted(old)) => {
+                    self.epoch > older.epoch || rev >= old
+                }
+                (Demands(_), Demands(_)) | (Reserve(_), Reserve(_)) | (Needed(_), Needed(_)) => true,
+                (Fleet { .. }, Fleet { .. }) | (_, Beat) => true,
+                _ => false,
+            }
+    }
 }
 
 #[cfg(test)]
