--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -2,5 +2,6 @@
 
 mod chains;
 mod plain;
+mod rough;
 mod takeovers;
 mod upgrade;
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -2,7 +2,7 @@
 //! that drives the controllers' own code with seeded troubles and checks the rules after each step.
 
 use hazelsaddle::fleet::{CloudAnswer, CloudRequest, Listed};
-use hazelsaddle::machines::{Report, ReportedTask};
+use hazelsaddle::machines::{Greeting, Report, ReportedTask};
 use hazelsaddle::node::{Effect, Event, Node};
 use hazelsaddle::peer::{Message, Reply, UserRequest};
 use hazelsaddle::settings::Settings;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -145,6 +145,13 @@
                 let there = matches!(self.travel(End::Node(n), End::Workers), Some(d) if d < S);
                 self.later(S, What::Node(n, boot, Event::Probed(there)));
             }
+            Effect::Greet(token, list) => {
+                for g in list {
+                    if let Some(d) = self.travel(End::Node(n), End::Workers) {
+                        self.later(d, What::Greet(n, boot, token, g));
+                    }
+                }
+            }
         }
     }
 
@@ -175,6 +182,7 @@
                     self.effects(n, out);
                 }
             }
+            What::Greet(n, boot, token, g) => self.greet(n, boot, token, g),
             What::WorkerAnswer(w, seq, reply) => self.worker_answer(w, seq, &reply),
             What::UserAnswer(t, reply) => {
                 if let Some(Ticket::User(id, kind)) = self.tickets.remove(&t)
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -50,6 +50,7 @@
     Effects(usize, u64, Vec<Effect>),
     StoreApply(usize, u64, u64, StoreRequest, bool),
     Cloud(usize, u64, CloudRequest),
+    Greet(usize, u64, u64, Greeting),
     WorkerAnswer(usize, u64, Reply),
     UserAnswer(u64, Reply),
 }
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -2,7 +2,52 @@
 
 use super::*;
 
+impl Worker {
+    fn report(&self) -> Report {
+        let task = |t: &Task| ReportedTask {
+            task: format!("{}/{}", t.job, t.index),
+            attempt: t.attempt,
+            state: t.state.into(),
+            why: t.why.map(str::to_owned),
+            saved: Some(t.saved),
+        };
+        Report {
+            machine: self.name.clone(),
+            addr: self.name.clone(),
+            kind: self.kind.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self.tasks.iter().map(task).collect(),
+        }
+    }
+}
+
 impl World {
+    /// A worker is told a token directly, and answers with its report.
+    pub(crate) fn greet(&mut self, n: usize, boot: u64, token: u64, g: Greeting) {
+        let now = self.now;
+        let there = |w: &&mut Worker| w.name == g.machine && !w.gone && !w.dead && now >= w.up_at;
+        let Some(w) = self.workers.iter_mut().find(there) else { return };
+        // One that hangs takes it when it goes on.
+        if w.hung_until > now {
+            let delay = w.hung_until - now;
+            return self.later(delay, What::Greet(n, boot, token, g));
+        }
+        if w.session == g.session && token >= w.token {
+            w.changed |= token > w.token;
+            w.token = token;
+        }
+        w.seq += 1;
+        let report = w.report();
+        if let Some(d) = self.travel(End::Workers, End::Node(n)) {
+            self.later(d, What::Node(n, boot, Event::Greeted(report)));
+        }
+    }
+
     pub(crate) fn worker_answer(&mut self, i: usize, seq: u64, reply: &Reply) {
         let w = &mut self.workers[i];
         if w.gone || w.dead || self.now < w.hung_until {
@@ -156,29 +201,7 @@
                 w.changed = false;
                 w.flight = Some((w.seq, now));
                 w.next = now + 3 * S;
-                let tasks = w
-                    .tasks
-                    .iter()
-                    .map(|t| ReportedTask {
-                        task: format!("{}/{}", t.job, t.index),
-                        attempt: t.attempt,
-                        state: t.state.into(),
-                        why: t.why.map(str::to_owned),
-                        saved: Some(t.saved),
-                    })
-                    .collect();
-                let report = Report {
-                    machine: w.name.clone(),
-                    addr: String::new(),
-                    kind: w.kind.clone(),
-                    zone: w.zone.clone(),
-                    spot: w.spot,
-                    session: w.session,
-                    seq: w.seq,
-                    token: w.token,
-                    notice_s: None,
-                    tasks,
-                };
+                let report = w.report();
                 let (target, seq) = (w.target, w.seq);
                 self.serial += 1;
                 let ticket = self.serial;
