--- a/src/peer.rs
+++ b/src/peer.rs
@@ -587,4 +587,43 @@
         }
         assert_eq!(Frame::decode(&[]), None);
     }
+
+    /// What is said once must not give way to a newer frame, and nothing to an older one.
+    #[test]
+    fn a_frame_gives_way_only_to_one_that_says_it_again() {
+        let frame = |epoch: u64, boot: u64, body: Message| Frame {
+            from: 1,
+            epoch,
+            members: Vec::new(),
+            clock: Micros(5),
+            boot,
+            echo: Micros(4),
+            echo_boot: 2,
+            digest_seen: 3,
+            body,
+        };
+        let state = |rev, seq| {
+            let digest = Digest { seq, ..Digest::default() };
+            Message::State(Wishes { rev, ..Wishes::default() }, digest)
+        };
+        let vouch = |rev| Message::Vouch { rev, since: 0, added: Vec::new(), dropped: Vec::new() };
+        let old = frame(7, 1, state(5, 5));
+        assert!(frame(7, 1, state(6, 5)).replaces(&old) && frame(8, 1, state(1, 1)).replaces(&old));
+        assert!(!frame(7, 1, state(4, 6)).replaces(&old) && !frame(6, 1, state(9, 9)).replaces(&old));
+        assert!(!frame(7, 2, state(6, 6)).replaces(&old), "another process counts anew");
+        assert!(frame(7, 1, vouch(3)).replaces(&frame(7, 1, vouch(2))));
+        assert!(!frame(7, 1, vouch(2)).replaces(&frame(7, 1, vouch(3))));
+        let once = [
+            Message::HandOver { number: 1, parcel: Parcel::default() },
+            Message::Taken(vec![1]),
+            Message::Strays(vec!["i-1".into()]),
+            Message::Answer { id: 1, reply: Reply::later("x") },
+            Message::Ask { id: 1, request: UserRequest::Query("wk-1".into()) },
+        ];
+        for body in once {
+            let again = frame(8, 1, body.clone());
+            assert!(!again.replaces(&frame(7, 1, body.clone())), "{body:?}");
+            assert!(!frame(8, 1, state(9, 9)).replaces(&frame(7, 1, body)));
+        }
+    }
 }
