--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -410,7 +410,8 @@
                     placement::fill(&j.spec, &mut places, &mut counts, next.len(), usable)
                 };
                 if at.len() < next.len() {
-                    unplaced = (left - at.len()).min(allowed) as u32;
+                    // A task may be known to be done by another's word while its start still counts as placed.
+                    unplaced = left.saturating_sub(at.len()).min(allowed) as u32;
                     if !hopeless && old.is_empty() && !j.spec.one_zone && !j.spec.spread {
                         full.push(j.spec.clone());
                     }
