Takeovers: a job put on record in this epoch waits for nobody

Need: submissions that another controller takes while their owner restarts were in doubt like any old job, and waited for dead machines too. Change: its record's version is above the epoch record's; once that is read again and still stands, nobody can have started the job. A stand-in goes on calling a job new when an answer comes from a later epoch. The world's cloud has capacity by kind, as the protocol says.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -6,6 +6,7 @@
 mod doubted;
 mod follow;
 mod handover;
+mod newcomers;
 mod plan;
 mod records;
 mod sync;
@@ -159,6 +160,8 @@
     /// Some set has become empty: jobs may be settled.
     ends_doubt: bool,
     vouching: vouch::Vouching,
+    /// Jobs whose record was written after this epoch was raised, and when we read it.
+    maybe_new: BTreeMap<String, Micros>,
     revs: Vec<u64>,
     /// Starts of which the homes are to hear.
     touched: BTreeSet<Key>,
@@ -224,6 +227,7 @@
             of_epoch: None,
             ends_doubt: false,
             vouching: vouch::Vouching::default(),
+            maybe_new: BTreeMap::new(),
             revs: vec![0; n],
             touched: BTreeSet::new(),
             unacked: vec![BTreeMap::new(); n],
@@ -315,6 +319,7 @@
         self.unheard.clear();
         self.of_epoch = None;
         self.vouching = vouch::Vouching::default();
+        self.maybe_new.clear();
         let used = self.jobs.values().filter_map(|j| match j.evidence {
             Evidence::Waits(d) => Some(d),
             _ => None,
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -157,6 +157,7 @@
                     self.adopt(now, &record, mark, out);
                 }
                 if record.epoch == self.membership.epoch {
+                    self.owner.epoch_stands(sent);
                     // It came back before it had left: its place is still its own.
                     self.membership.aside = false;
                     return self.ask_store(Purpose::Renew(sent), StoreRequest::Renew(lease), out);
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -98,7 +98,9 @@
             Message::Ask { id, request } => self.user(now, Origin::Peer(from, id), request, out),
             Message::Answer { id, reply } => {
                 if let Some(a) = self.asked.remove(&id) {
-                    if reply.status == 200 {
+                    // One that is in a newer epoch than ours can't have started it in this one: that it is new stays worth
+                    // saying.
+                    if reply.status == 200 && f.epoch <= self.membership.epoch {
                         self.standing_in.remove(a.request.job());
                     }
                     // An owner that has spent its share of the write budget is helped out by one that
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -105,7 +105,12 @@
         }
         match Owner::read_record(&row.value) {
             Some((raw, spec, accepted, done)) if spec.id == id => {
+                // Of one that we know the latest write may be our own, and says nothing of what it had before us.
+                let unknown = !self.owner.jobs.contains_key(id);
                 self.owner.insert(raw, spec, accepted, done, row.mark, false);
+                if unknown && row.mark > self.membership.mark {
+                    self.owner.maybe_new(self.last_round, id);
+                }
                 true
             }
             _ => {
--- a/tests/world/outside.rs
+++ b/tests/world/outside.rs
@@ -116,7 +116,11 @@
                     return CloudAnswer::Rented(names.clone());
                 }
                 let here = self.workers.iter().filter(|w| !w.gone && w.zone == r.zone).count();
-                let n = (r.count as usize).min(self.shape.room.saturating_sub(here));
+                let spots = self.workers.iter().filter(|w| !w.gone && w.zone == r.zone && w.spot).count();
+                // Capacity is by kind as well: spot machines that idle can't take all of it.
+                let room = self.shape.room;
+                let left = if r.spot { (room * 2 / 3).saturating_sub(spots) } else { room };
+                let n = (r.count as usize).min(room.saturating_sub(here)).min(left);
                 if n == 0 {
                     return CloudAnswer::NoCapacity;
                 }
