--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -7,6 +7,7 @@
 mod doubted;
 pub(crate) mod follow;
 mod handover;
+mod newcomers;
 mod plan;
 mod records;
 mod sync;
@@ -164,6 +165,8 @@
     /// Some set has become empty: jobs may be settled.
     ends_doubt: bool,
     vouching: vouch::Vouching,
+    /// Jobs whose record was written after this epoch was raised, and when we read it.
+    maybe_new: BTreeMap<String, Micros>,
     revs: Vec<u64>,
     /// Starts of which the homes are to hear.
     touched: BTreeSet<Key>,
@@ -229,6 +232,7 @@
             of_epoch: None,
             ends_doubt: false,
             vouching: vouch::Vouching::default(),
+            maybe_new: BTreeMap::new(),
             revs: vec![0; n],
             touched: BTreeSet::new(),
             unacked: vec![BTreeMap::new(); n],
@@ -320,6 +324,7 @@
         self.unheard.clear();
         self.of_epoch = None;
         self.vouching = vouch::Vouching::default();
+        self.maybe_new.clear();
         let used = self.jobs.values().filter_map(|j| match j.evidence {
             Evidence::Waits(d) => Some(d),
             _ => None,
