--- a/tests/world/days/releases.rs
+++ b/tests/world/days/releases.rs
@@ -192,9 +192,17 @@
     assert_eq!(shown.len(), 1, "{shown:?}");
     let why = w.ask(1, UserRequest::Why("wk-000003".into()));
     assert!(why.body.contains("is not finished"), "{}", why.body);
+    // Opened again by one controller, it takes renders through all of them at once: a refusal must not rest on what
+    // one of them read before.
+    assert_eq!(w.operate(0, &OpRequest::Reopen(title(), None)).status, 200);
+    for n in 10..16 {
+        known(&mut w, n % 3, &body(&format!("wk-0000{n}"), "render", 1, release("render")));
+    }
+    assert_eq!(w.operate(1, &close).status, 200);
     let unknown = w.operate(0, &OpRequest::Release("shop-b".into(), None));
     assert!(unknown.status == 404 && unknown.body.contains("nearest is shop-a"), "{}", unknown.body);
-    let done = |w: &World| (0..3).all(|n| w.record(&format!("done/wk-00000{n}")).is_some());
+    let renders: Vec<String> = (0..3).chain(10..16).map(|n| format!("done/wk-{n:06}")).collect();
+    let done = |w: &World| renders.iter().all(|key| w.record(key).is_some());
     while !done(&w) {
         let next = w.now + S / 10;
         play_until(&mut w, next);
