--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod commands;
 pub mod daemon;
 pub mod fleet;
+pub mod guarantee;
 pub mod jobs;
 pub mod machines;
 pub mod node;
