Restarts: a process that comes and goes is held back, late answers answer nobody else

Numbers begin at the process's random number. /ready is 200 for one that may act also while it reads its records.

--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 mod handover;
 mod links;
 mod records;
+mod restraint;
 mod users;
 mod witness;
 mod workers;
@@ -14,6 +15,7 @@
 use self::follow::Follow;
 use self::handover::Handover;
 pub use self::handover::LEAVING;
+use self::restraint::Restraint;
 use self::witness::Witness;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
@@ -178,6 +180,7 @@
     ring_busy: bool,
     next_ring: Micros,
     aside: Aside,
+    restraint: Restraint,
     /// Other controllers whose store leases lived when last read.
     alive: Vec<usize>,
     /// Per controller: machines of its that turned up here and were sent on to it.
@@ -243,6 +246,7 @@
             ring_busy: false,
             next_ring: Micros(0),
             aside: Aside::new(&settings),
+            restraint: Restraint::default(),
             alive: Vec::new(),
             strays: (0..n).map(|_| Strays::default()).collect(),
             last_round: Micros(0),
@@ -251,7 +255,8 @@
             load_busy: false,
             load_retry: Micros(0),
             machines_on_record: Vec::new(),
-            next_id: 1,
+            // Peers answer late: what an earlier process asked must not answer what this one asks under the same number.
+            next_id: boot << 12,
             in_flight: BTreeMap::new(),
             requests: Budget::new(settings.store_rps),
             writes: Budget::new(settings.store_write_rps),
@@ -292,7 +297,9 @@
             }
             Event::User(ticket, r) => self.user(now, Origin::Ticket(ticket), r, out),
             Event::Ready(ticket) => {
-                let acts = self.membership.may_act(now) && self.owner.loaded;
+                // Also while it reads its records: polls and submissions are answered all the same, and what is not
+                // would not be through another node either. Out of the load balancer is out for longer than that.
+                let acts = self.membership.may_act(now);
                 let reply = if self.handover.leaving().is_some() {
                     Reply::later("leaving")
                 } else if acts || self.membership.can_pass(now) {
@@ -409,7 +416,7 @@
     }
 
     fn fresh_id(&mut self) -> u64 {
-        self.next_id += 1;
+        self.next_id = self.next_id.wrapping_add(1);
         self.next_id
     }
 
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -12,9 +12,15 @@
             let ms = self.settings.member_lease.0 / 1000;
             return self.ask_store(Purpose::Grant, StoreRequest::Grant(ms), out);
         };
-        if !self.registered {
-            let c =
-                Commit { puts: vec![self.own_key(lease, self.aside.away().is_some())], ..Commit::default() };
+        // How often it joined of late decides whether its key asks for a place, and stands in the epoch record.
+        if !self.registered && self.seen.is_some() {
+            let held = self.held_back(now);
+            if held && !self.restraint.aside() {
+                tracing::info!("held back: this controller has joined too often of late");
+            }
+            self.restraint.registers(held);
+            let aside = held || self.aside.away().is_some();
+            let c = Commit { puts: vec![self.own_key(lease, aside)], ..Commit::default() };
             return self.ask_store(Purpose::Register, StoreRequest::Commit(c), out);
         }
         self.ask_store(Purpose::ReadEpoch(now), StoreRequest::Get(EPOCH_KEY.into()), out);
@@ -83,6 +89,7 @@
                 self.ring_again(now, 0);
             }
             (Purpose::ReadEpoch(sent), StoreAnswer::Got(row)) => {
+                self.restraint.read(row.as_ref().map_or(&Value::Null, |r| &r.value));
                 let (record, mark) = match row {
                     None => (EpochRecord::default(), 0),
                     Some(Row { value, mark, .. }) => match serde_json::from_value(value) {
@@ -94,6 +101,9 @@
                     },
                 };
                 self.seen = Some((record, mark, sent));
+                if !self.registered {
+                    return self.ring_again(now, 0);
+                }
                 self.ask_store(
                     Purpose::ReadMembers(sent),
                     StoreRequest::List("ring/m/".into(), String::new()),
@@ -116,7 +126,12 @@
                     .filter(|(n, _)| self.settings.members.contains(n))
                     .collect();
                 let own = (self.settings.member.clone(), self.boot);
-                let away = self.aside.away().is_some();
+                if self.restraint.aside() && !self.held_back(now) {
+                    // Its key must say so before the epoch is raised.
+                    self.registered = false;
+                    return self.ring_again(now, 0);
+                }
+                let away = self.aside.away().is_some() || self.restraint.aside();
                 // Whose lease has ended without its knowledge must get a new one before it joins:
                 // the others would put it out again at once, and so on in turns.
                 let key = format!("ring/m/{}", own.0);
@@ -137,9 +152,10 @@
                 };
                 if (!away && !self.membership.is_in(&record)) || lost {
                     let next = Membership::next_record(&record, &alive);
-                    let Ok(value) = serde_json::to_value(&next) else {
+                    let Ok(mut value) = serde_json::to_value(&next) else {
                         return self.ring_again(now, 300);
                     };
+                    self.restraint.write(&self.settings, self.wall, &record, &next, &mut value);
                     let mut c = Commit {
                         conditions: vec![(EPOCH_KEY.into(), mark)],
                         puts: vec![(EPOCH_KEY.into(), value, None)],
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -2,5 +2,6 @@
 
 mod chains;
 mod plain;
+mod restarts;
 mod takeovers;
 mod upgrade;
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -20,10 +20,12 @@
 mod parts;
 mod rules;
 mod shape;
+mod silence;
 mod troubles;
 mod users;
 mod workers;
 
 pub(crate) use parts::*;
 pub(crate) use shape::*;
+pub(crate) use silence::*;
 pub(crate) use troubles::*;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -56,7 +56,15 @@
         for e in out {
             let vetted = self.nodes[n].as_mut().and_then(|node| node.vetted(now, e));
             if let Some(e) = vetted {
-                self.effect(n, e);
+                // A process that ends now has done what came before, and perhaps this.
+                let ends = self.ends_at(&e);
+                if ends != Some(false) {
+                    self.effect(n, e);
+                }
+                if ends.is_some() {
+                    self.log.push(format!("{:.1}: {n} ends", self.now as f64 / 1e6));
+                    return self.crash(n);
+                }
             }
         }
     }
@@ -77,6 +85,8 @@
                 Some(Ticket::Asked) => {
                     self.answers.insert(t, reply);
                 }
+                Some(Ticket::Poll(id, n, asked)) => self.polled(&id, n, asked, &reply),
+                Some(Ticket::Probe(n)) => self.balancer.told(self.now, n, reply.status == 200),
                 None => {}
             },
             Effect::Send(p, frame) => {
@@ -175,6 +185,7 @@
                     self.effects(n, out);
                 }
             }
+            What::Back(n) => self.start(n),
             What::WorkerAnswer(w, seq, reply) => self.worker_answer(w, seq, &reply),
             What::UserAnswer(t, reply) => {
                 if let Some(Ticket::User(id, kind)) = self.tickets.remove(&t)
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -52,6 +52,8 @@
     Cloud(usize, u64, CloudRequest),
     WorkerAnswer(usize, u64, Reply),
     UserAnswer(u64, Reply),
+    /// A controller's process starts, unless it did before.
+    Back(usize),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -72,6 +74,8 @@
     pub(crate) mistaken: bool,
     pub(crate) cancelled_at: Option<u64>,
     pub(crate) accepted_at: Option<u64>,
+    /// When its first task ran.
+    pub(crate) begun_at: Option<u64>,
     pub(crate) done: BTreeSet<u32>,
     pub(crate) next: u64,
     pub(crate) submitted: bool,
@@ -84,6 +88,10 @@
     User(String, char),
     /// A test asks.
     Asked,
+    /// Somebody polls a job through a controller, since when.
+    Poll(String, usize, u64),
+    /// The load balancer asks whether a controller is ready.
+    Probe(usize),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -136,6 +144,12 @@
     pub(crate) unruly: f64,
     /// A class whose starts the workers refuse, to show that the bar of half a class can fail.
     pub(crate) starved: Option<&'static str>,
+    /// Controllers' processes that end are back within half a second.
+    pub(crate) quick: bool,
+    /// How likely it is that a process ends while it raises an epoch, hands over, claims or writes a record.
+    pub(crate) brittle: f64,
+    pub(crate) silence: Silence,
+    pub(crate) balancer: Balancer,
     pub(crate) log: Vec<String>,
 }
 
@@ -176,6 +190,10 @@
             parcels: 0,
             unruly: 0.0,
             starved: None,
+            quick: false,
+            brittle: 0.0,
+            silence: Silence::default(),
+            balancer: Balancer::default(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
--- /dev/null
+++ b/tests/world/silence.rs
@@ -0,0 +1,177 @@
+//! Who asks about jobs of any age through every controller, how long no question about one is answered, and whether
+//! the load balancer would take a controller for well.
+
+use super::*;
+
+/// How long questions about accepted jobs go unanswered while nothing fails.
+#[derive(Default)]
+pub(crate) struct Silence {
+    /// Whether somebody polls each accepted job through each controller, for ever.
+    pub(crate) pollers: bool,
+    /// Nothing fails since then.
+    pub(crate) calm_from: u64,
+    /// Job, and the controller asked (None: whichever): the first question since the last answer.
+    open: BTreeMap<(String, Option<usize>), u64>,
+    next: BTreeMap<(String, usize), u64>,
+    /// The longest that ended: of a job, and of a job through one controller, with the moment and the job.
+    worst: [(u64, String); 2],
+    /// Jobs of which somebody was told the end, and when.
+    ended: BTreeMap<String, (u64, String)>,
+    /// Answers that were no 200, by status; 0: none came.
+    pub(crate) refused: BTreeMap<(u16, String), usize>,
+}
+
+impl Silence {
+    pub(crate) fn asked(&mut self, now: u64, job: &str, n: Option<usize>) {
+        self.open.entry((job.to_owned(), n)).or_insert(now);
+    }
+
+    pub(crate) fn answered(&mut self, now: u64, job: &str, n: Option<usize>) {
+        for who in [None, n] {
+            if let Some(since) = self.open.remove(&(job.to_owned(), who)) {
+                self.over(now, since, job, who);
+            }
+        }
+    }
+
+    fn over(&mut self, now: u64, since: u64, job: &str, n: Option<usize>) {
+        let long = now.saturating_sub(since.max(self.calm_from));
+        let worst = &mut self.worst[usize::from(n.is_some())];
+        if long > worst.0 {
+            *worst = (long, format!("{job} through {n:?} at {:.1}", now as f64 / 1e6));
+        }
+    }
+
+    /// The longest silence about a job, and about a job through one controller.
+    pub(crate) fn longest(&mut self, now: u64) -> [(f64, String); 2] {
+        for ((job, n), since) in self.open.clone() {
+            self.over(now, since, &job, n);
+        }
+        self.worst.clone().map(|(long, which)| (long as f64 / 1e6, which))
+    }
+}
+
+/// The load balancer's view: a probe a second; two in a row that fail take a controller out.
+#[derive(Default)]
+pub(crate) struct Balancer {
+    next: u64,
+    /// Per controller: probes in a row that failed, and until when the last one may be answered.
+    failed: [u32; 3],
+    waits: [Option<u64>; 3],
+    /// When each was taken out.
+    pub(crate) removed: [Vec<u64>; 3],
+}
+
+impl Balancer {
+    pub(crate) fn told(&mut self, now: u64, n: usize, ready: bool) {
+        if self.waits[n].take().is_none() {
+            return;
+        }
+        self.failed[n] = if ready { 0 } else { self.failed[n] + 1 };
+        if self.failed[n] == 2 {
+            self.removed[n].push(now);
+        }
+    }
+    /// Whether the last probe succeeded.
+    pub(crate) fn ready(&self, n: usize) -> bool {
+        self.failed[n] == 0
+    }
+}
+
+impl World {
+    /// Whether any controller, or what it needs, is in trouble. Machines don't count: they answer no user.
+    pub(crate) fn troubled(&self) -> bool {
+        let now = self.now;
+        (0..3).any(|n| self.nodes[n].is_none() || now < self.hung[n])
+            || now < self.outage_until
+            || self.cuts.iter().any(|c| now < c.2)
+    }
+
+    pub(crate) fn run_pollers(&mut self) {
+        if self.troubled() {
+            self.silence.calm_from = self.now;
+        }
+        if !self.silence.pollers {
+            return;
+        }
+        let now = self.now;
+        let accepted: Vec<String> =
+            self.jobs.iter().filter(|(_, j)| j.known != Known::Nothing).map(|(id, _)| id.clone()).collect();
+        for id in accepted {
+            for n in 0..3 {
+                if self.silence.next.get(&(id.clone(), n)).is_some_and(|t| now < *t) {
+                    continue;
+                }
+                // One that is answered asks again later; a refusal says when to come back.
+                let pause = self.rng.random_range(2 * S..3 * S);
+                self.silence.next.insert((id.clone(), n), now + pause);
+                // Nobody reaches one that is not there.
+                if self.nodes[n].is_none() {
+                    self.silence.open.remove(&(id.clone(), Some(n)));
+                    continue;
+                }
+                self.silence.asked(now, &id, Some(n));
+                self.silence.asked(now, &id, None);
+                self.serial += 1;
+                self.tickets.insert(self.serial, Ticket::Poll(id.clone(), n, now));
+                let ask = Event::User(self.serial, UserRequest::Query(id.clone()));
+                self.later(1000, What::Node(n, self.boots[n], ask));
+            }
+        }
+        if now >= self.balancer.next {
+            self.balancer.next = now + S;
+            for n in 0..3 {
+                // Not answered within the second, or nobody there: failed.
+                self.balancer.waits[n].get_or_insert(now);
+                if self.balancer.waits[n] != Some(now) {
+                    self.balancer.told(now, n, false);
+                    self.balancer.waits[n] = Some(now);
+                }
+                if self.nodes[n].is_none() {
+                    self.balancer.told(now, n, false);
+                    continue;
+                }
+                self.serial += 1;
+                self.tickets.insert(self.serial, Ticket::Probe(n));
+                self.later(1000, What::Node(n, self.boots[n], Event::Ready(self.serial)));
+            }
+        }
+    }
+
+    /// A poll was answered.
+    pub(crate) fn polled(&mut self, id: &str, n: usize, asked: u64, r: &Reply) {
+        assert_ne!(r.status, 404, "forgotten: {id} at {}", self.now);
+        if r.status != 200 {
+            *self.silence.refused.entry((r.status, r.body.clone())).or_default() += 1;
+            return;
+        }
+        self.silence.answered(self.now, id, Some(n));
+        let body: Value = serde_json::from_str(&r.body).expect("JSON");
+        let stance = body["stance"].as_str().expect("a stance").to_owned();
+        let j = &self.jobs[id];
+        assert_eq!(body["uid"], *id, "an answer to another question");
+        assert!(stance != "done" || j.done.len() == j.spec.tasks as usize, "not_done: {id}");
+        // Of two questions under way at once either may be answered first; a later one may not say less.
+        match self.silence.ended.get(id) {
+            Some((at, end)) if asked > *at => assert_eq!(stance, *end, "went_back: {id} at {}", self.now),
+            Some(_) => {}
+            None if stance == "done" || stance == "aborted" => {
+                self.silence.ended.insert(id.to_owned(), (self.now, stance));
+            }
+            None => {}
+        }
+    }
+
+    /// No job may go unanswered for longer, once nothing fails, through whichever controller and through each.
+    pub(crate) fn nobody_forgotten(&mut self, seed: u64) {
+        let [(any, which), (one, through)] = self.silence.longest(self.now);
+        let refused = &self.silence.refused;
+        assert!(any <= 15.0, "seed {seed}: {any:.1} s, {which}: {refused:?}");
+        assert!(one <= 15.0, "seed {seed}: {one:.1} s, {through}: {refused:?}");
+        if std::env::var("WORLD_SEEDS").is_ok() {
+            eprintln!(
+                "seed {seed}: longest silence of a job {any:.1} s, through one controller {one:.1} s, {which}, {through}"
+            );
+        }
+    }
+}
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -48,7 +48,45 @@
     pub(crate) fn crash(&mut self, n: usize) {
         self.nodes[n] = None;
         self.boots[n] = 0;
-        self.back_at[n] = self.now + self.rng.random_range(3 * S..9 * S);
+        let pause = if self.quick {
+            self.rng.random_range(S / 20..S / 2)
+        } else {
+            self.rng.random_range(3 * S..9 * S)
+        };
+        self.back_at[n] = self.now + pause;
+        if self.quick {
+            self.later(pause, What::Back(n));
+        }
+    }
+
+    /// Whether a process ends with this effect, and if so, whether it still carries it out.
+    pub(crate) fn ends_at(&mut self, e: &Effect) -> Option<bool> {
+        if self.brittle == 0.0 {
+            return None;
+        }
+        let weight = match e {
+            Effect::Store(_, StoreRequest::Commit(c), _) => {
+                let first = c.puts.first().map_or("", |p| p.0.as_str());
+                match first.split('/').next().unwrap_or("") {
+                    "ring" => 10.0,
+                    "team" => 2.0,
+                    _ => 1.0,
+                }
+            }
+            Effect::Send(_, f) if matches!(f.body, Message::HandOver { .. } | Message::Taken(_)) => 5.0,
+            _ => return None,
+        };
+        self.rng.random_bool((self.brittle * weight).min(1.0)).then(|| self.rng.random_bool(0.5))
+    }
+
+    pub(crate) fn start(&mut self, n: usize) {
+        if self.nodes[n].is_none() && self.now >= self.back_at[n] {
+            self.serial += 1;
+            self.boots[n] = self.serial;
+            self.started[n] = self.now;
+            self.hung[n] = 0;
+            self.nodes[n] = Some(Node::new(settings(n, self.shape, self.limited[n]), self.serial));
+        }
     }
 
     pub(crate) fn epoch(&self) -> u64 {
@@ -65,15 +103,10 @@
                 self.store.extend_leases(self.now);
             }
             for n in 0..3 {
-                if self.nodes[n].is_none() && self.now >= self.back_at[n] {
-                    self.serial += 1;
-                    self.boots[n] = self.serial;
-                    self.started[n] = self.now;
-                    self.hung[n] = 0;
-                    self.nodes[n] = Some(Node::new(settings(n, self.shape, self.limited[n]), self.serial));
-                }
+                self.start(n);
                 self.drive_if_awake(n);
             }
+            self.run_pollers();
             if self.now >= next_job && self.jobs.len() < self.shape.jobs as usize {
                 self.add_job(self.jobs.len() as u32 + 1);
                 next_job = self.now + self.rng.random_range(S..self.shape.pause);
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -49,6 +49,7 @@
             cancel_asked: false,
             cancelled_at: None,
             accepted_at: None,
+            begun_at: None,
             done: BTreeSet::new(),
             next: self.now,
             submitted: false,
@@ -95,6 +96,9 @@
                 _ => ('q', UserRequest::Query(id.clone())),
             };
             j.submitted |= kind == 's';
+            if kind == 'q' && j.known != Known::Nothing {
+                self.silence.asked(self.now, &id, None);
+            }
             self.serial += 1;
             let ticket = self.serial;
             j.latest = ticket;
@@ -139,6 +143,9 @@
     }
 
     pub(crate) fn user_answer(&mut self, id: &str, kind: char, r: &Reply) {
+        if r.status == 200 && kind == 'q' {
+            self.silence.answered(self.now, id, None);
+        }
         assert!(r.status != 400 && r.status != 422 && r.status != 409, "{id}: {r:?}");
         if r.status == 503 {
             assert!(r.retry_after.is_some(), "a refusal says when to come back");
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -139,6 +139,9 @@
                         j.done.insert(t.index);
                     }
                 }
+                if state == "running" {
+                    self.jobs.get_mut(&t.job).expect("known").begun_at.get_or_insert(now);
+                }
                 let w = &mut self.workers[i];
                 w.tasks[k].state = state;
                 w.tasks[k].until = until;
@@ -207,7 +210,7 @@
         let now = self.now;
         for w in self.workers.iter_mut().filter(|w| !w.gone && !w.dead && now >= w.hung_until) {
             for t in &mut w.tasks {
-                let Some(j) = self.jobs.get(&t.job) else { continue };
+                let Some(j) = self.jobs.get_mut(&t.job) else { continue };
                 if j.spec.kind != hazelsaddle::spec::Kind::Gang {
                     continue;
                 }
@@ -216,6 +219,7 @@
                 if t.state == "waiting" && waiting.get(&key).is_some_and(|s| s.len() == all) {
                     t.state = "running";
                     t.until = now + j.run;
+                    j.begun_at.get_or_insert(now);
                     w.changed = true;
                 } else if t.state == "running"
                     && running.get(&key).is_none_or(|s| s.len() < all)
