--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -45,7 +45,10 @@
             let echo = if f.echo_boot == self.boot && f.echo <= now { f.echo } else { Micros(0) };
             self.membership.heard_from(from, f.epoch, echo);
             self.aside.echo(from, echo);
-            self.membership.told(now, f.epoch, &f.members);
+            // By a member's word only: those that keep out of the ring would take one another's for it.
+            if f.members.contains(&f.from) {
+                self.membership.told(now, f.epoch, &f.members);
+            }
             if f.epoch > self.membership.epoch {
                 self.next_ring = self.next_ring.min(now);
             }
