--- a/src/fleet/room.rs
+++ b/src/fleet/room.rs
@@ -6,10 +6,13 @@
 use crate::views::Seen;
 use std::collections::BTreeMap;
 
+/// One part of a room.
+type Part = fn(Room) -> i64;
+
 /// Room to keep free for guarantees: work within them should start at once, also when the next surge comes, and a
 /// machine takes long to boot. Processors beside GPUs don't count as such where there are machines without.
 pub(super) fn headroom(guaranteed: Room, types: &Types, machines: &BTreeMap<&str, &Seen>) -> Vec<Demand> {
-    let parts: [(fn(Room) -> i64, bool); 2] = [(|r| r.cpus, false), (|r| r.gpus, true)];
+    let parts: [(Part, bool); 2] = [(|r| r.cpus, false), (|r| r.gpus, true)];
     parts.into_iter().filter_map(|(part, gpus)| lacking(guaranteed, types, machines, part, gpus)).collect()
 }
 
@@ -17,7 +20,7 @@
     guaranteed: Room,
     types: &Types,
     machines: &BTreeMap<&str, &Seen>,
-    part: fn(Room) -> i64,
+    part: Part,
     gpus: bool,
 ) -> Option<Demand> {
     let plain = types.values().any(|t| t.gpus <= 0.0);
--- a/src/jobs/room.rs
+++ b/src/jobs/room.rs
@@ -5,6 +5,9 @@
 use crate::placement::Place;
 use crate::teams::Teams;
 
+/// One part of a room.
+type Part = fn(Room) -> i64;
+
 /// Machines on which room is asked back at a time.
 const RECLAIMED: usize = 60;
 
@@ -147,7 +150,7 @@
         // Processors of machines with GPUs are left to work that needs those, unless there are no others.
         let with_gpus = |p: &Place| p.machine.total.gpus > 0;
         let plain = places.iter().any(|p| !with_gpus(p));
-        let parts: [(fn(Room) -> i64, bool); 2] = [(|r| r.cpus, !plain), (|r| r.gpus, true)];
+        let parts: [(Part, bool); 2] = [(|r| r.cpus, !plain), (|r| r.gpus, true)];
         for (part, gpus) in parts {
             let of_these = |p: &&Place| with_gpus(p) == gpus;
             let used: i64 =
--- a/src/teams/notes.rs
+++ b/src/teams/notes.rs
@@ -50,7 +50,7 @@
     }
 
     /// The order in which jobs that wait for their team's room get it.
-    pub fn rank<'a>(self, job: &'a str) -> Option<(std::cmp::Reverse<u8>, u64, &'a str)> {
+    pub fn rank(self, job: &str) -> Option<(std::cmp::Reverse<u8>, u64, &str)> {
         Some((std::cmp::Reverse(self.want?.priority), self.accepted.unwrap_or(u64::MAX), job))
     }
 }
