--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -238,14 +238,21 @@
         let mut out = Account::default();
         for id in ids {
             let Some(before) = self.of(&id).filter(|a| a.accepted.is_some()) else { continue };
-            self.poll(&id);
+            let open = !matches!(before.stance.as_str(), "done" | "aborted");
+            let since = if open { before.heard.max(over) } else { Instant::now() };
+            // Nobody has asked about it since its end was told.
+            self.note(&id, |a| a.heard = a.heard.max(since));
+            let asked = Instant::now();
+            while self.of(&id).is_some_and(|a| a.heard < asked && !a.denied) && since.elapsed() < FORGOTTEN {
+                self.poll(&id);
+            }
             // A repeat gets 200 for ever, whatever has become of what the job names.
             if let Told::No(status, why) = self.insist("POST", "/v1/jobs", Some(&before.body.to_string())) {
                 tracing::error!(job = id, status, why, "a repeat was refused");
                 self.note(&id, |a| a.denied = true);
             }
             let Some(a) = self.of(&id) else { continue };
-            let quiet = a.silence.max(a.heard.max(over).elapsed());
+            let quiet = if a.heard < asked { since.elapsed() } else { a.silence };
             out.silence_s = out.silence_s.max(a.silence.as_secs_f64());
             if a.denied || quiet > FORGOTTEN {
                 tracing::error!(job = id, denied = a.denied, ?quiet, "a job was forgotten");
