--- a/crates/lab/src/releases.rs
+++ b/crates/lab/src/releases.rs
@@ -13,7 +13,7 @@
 use hazelsaddle_logs::spool::Policy;
 use hazelsaddle_pact::record::{Phase, Record};
 use hazelsaddle_release::set::{Release, members};
-use jiff::{Timestamp, ToSpan, tz::TimeZone};
+use jiff::{SignedDuration, Timestamp, ToSpan, tz::TimeZone};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -25,6 +25,8 @@
 
 /// Releases whose rotations must have started within this, once all troubles are over, are held for ever.
 const PATIENCE: Duration = Duration::from_secs(240);
+/// A night began so long before its renders are due.
+const NIGHT: SignedDuration = SignedDuration::from_hours(3);
 /// The slowest releases may take so long.
 const MOST_S: f64 = 5.0;
 
@@ -89,6 +91,7 @@
 #[derive(Clone, Debug)]
 struct Title {
     name: String,
+    night: String,
     closing: Closing,
     begins: Duration,
     /// The job ids: rebuild, renders, renders that come too late or race the close, rotation.
@@ -113,17 +116,18 @@
     }
 }
 
-fn draw(rng: &mut StdRng, n: usize, seed: u64) -> Title {
+fn draw(rng: &mut StdRng, n: usize, seed: u64, due: [Timestamp; 2]) -> Title {
     let closing = [Closing::Count, Closing::Operator, Closing::Calendar][n % 3];
-    let prefix = match closing {
-        Closing::Calendar => "due",
-        _ => "long",
+    let (prefix, due) = match closing {
+        Closing::Calendar => ("due", due[0]),
+        _ => ("long", due[1]),
     };
     let id = |k: usize| format!("wk-{}", seed % 100_000 * 100_000 + (n * 100 + k) as u64);
     let ms = |rng: &mut StdRng, to: u64| Duration::from_millis(rng.random_range(0..to));
     let renders = rng.random_range(2..6);
     Title {
         name: format!("{prefix}-{n}"),
+        night: (due - NIGHT).to_zoned_datetime(TimeZone::UTC).date().to_string(),
         closing,
         begins: ms(rng, 20_000),
         rebuild: (id(0), script(rng, 30)),
@@ -141,7 +145,7 @@
     let at = |t: Timestamp| t.to_zoned_datetime(TimeZone::UTC).strftime("%H:%M").to_string();
     format!(
         "[calendar {name}]\ntitle = {title}\nzone = UTC\nnight_begins = {}\nrenders_due = {}\nrotation_due = {}\n\n",
-        at(due - 3.hours()),
+        at(due - NIGHT),
         at(due),
         at(due + 1.minute())
     )
@@ -158,14 +162,13 @@
     kills: usize,
 ) -> Result<Outcome, Box<dyn std::error::Error>> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let now = Timestamp::now();
-    let operators =
-        calendar("soon", "due-*", now + 80.seconds()) + &calendar("long", "long-*", now + 2.hours());
+    let due = [Timestamp::now() + 110.seconds(), Timestamp::now() + 2.hours()];
+    let operators = calendar("soon", "due-*", due[0]) + &calendar("long", "long-*", due[1]);
     let size = Size { workers: machines, operators, keep_all: true, ..Size::default() };
     let mut town = Town::start(program, &size)?;
     let clock = Clock::start(town.state.clone());
     let users = Users::start(town.api.clone());
-    let titles: Vec<Title> = (0..(machines / 2).max(6)).map(|n| draw(&mut rng, n, seed)).collect();
+    let titles: Vec<Title> = (0..(machines / 2).max(6)).map(|n| draw(&mut rng, n, seed, due)).collect();
     let mut troubles = Troubles::draw(&mut rng, kills, Duration::from_secs(3), Duration::from_secs(45));
     let begun = Instant::now();
     let mut players: Vec<JoinHandle<()>> = Vec::new();
@@ -262,19 +265,19 @@
         .iter()
         .cloned()
         .map(|(id, tasks, script)| {
-            let (users, name, wait) = (users.clone(), t.name.clone(), t.closing);
+            let (users, name, wait) = (users.clone(), (t.name.clone(), t.night.clone()), t.closing);
             std::thread::spawn(move || {
                 if wait != Closing::Operator {
                     // Until the set is closed; one that comes before joins it.
-                    let _ = until(&users, &name, |v| v["state"] != "open");
+                    let _ = until(&users, (&name.0, &name.1), |v| v["state"] != "open");
                 }
-                let says = json!({"title": name, "stage": "render"});
+                let says = json!({"title": name.0, "night": name.1, "stage": "render"});
                 users.submit(&id, &with(description(&id, tasks, &script), &[("release", says)]));
             })
         })
         .collect();
     if t.closing == Closing::Operator {
-        let close = json!({"title": t.name}).to_string();
+        let close = json!({"title": t.name, "night": t.night}).to_string();
         users.insist("POST", "/ops/releases/close", Some(&close));
     }
     for l in late {
@@ -282,7 +285,9 @@
     }
     let begun = Instant::now();
     while begun.elapsed() < PATIENCE {
-        let Some(shown) = until(users, &t.name, |v| v["state"] != "open" && v["state"] != "closing") else {
+        let Some(shown) =
+            until(users, (&t.name, &t.night), |v| v["state"] != "open" && v["state"] != "closing")
+        else {
             return;
         };
         if shown["state"] == "rotated" {
@@ -296,7 +301,8 @@
             _ => None,
         });
         if let Some(job) = without {
-            let waive = json!({"title": t.name, "job": job, "why": "not needed tonight"}).to_string();
+            let waive = json!({"title": t.name, "night": t.night, "job": job, "why": "not needed tonight"})
+                .to_string();
             users.insist("POST", "/ops/releases/waive", Some(&waive));
         }
         std::thread::sleep(Duration::from_millis(500));
@@ -304,10 +310,11 @@
 }
 
 /// Asks until a release is shown as wanted.
-fn until(users: &Users, title: &str, good: impl Fn(&Value) -> bool) -> Option<Value> {
+fn until(users: &Users, (title, night): (&str, &str), good: impl Fn(&Value) -> bool) -> Option<Value> {
     let begun = Instant::now();
     while begun.elapsed() < PATIENCE {
-        match users.ask("GET", &format!("/ops/releases/{title}"), None, Duration::from_secs(9)) {
+        match users.ask("GET", &format!("/ops/releases/{title}?night={night}"), None, Duration::from_secs(9))
+        {
             Some((200, v)) if good(&v) => return Some(v),
             _ => std::thread::sleep(Duration::from_millis(300)),
         }
