Releases: shown by title also after the night, and the experiment's judge tested

A title without a night meant the latest set that is not over: an operator who asked in the morning got 404. The experiment's account is tested on made-up histories: early, unrecorded, joined late, attempts that overlap.

--- a/crates/lab/src/releases.rs
+++ b/crates/lab/src/releases.rs
@@ -351,18 +351,7 @@
 fn judge(town: &Town, users: &Users, titles: &[Title], clock: &Clock, out: &mut Outcome) {
     let changes = history(town, &["job/", "done/", "pact/r/", "pactpage/r/"]);
     let sets = sets(&changes);
-    // Every rebuild and render that was ever accepted, by when that was on record.
-    let mut joined: BTreeMap<String, BTreeMap<String, (u64, bool)>> = BTreeMap::new();
-    for c in &changes {
-        let Some(id) = c.key.strip_prefix("job/").or_else(|| c.key.strip_prefix("done/")) else { continue };
-        let Some(says) = c.value.as_ref().and_then(|v| member(v, "release")) else { continue };
-        if let (Some(title), Some(stage)) = (says["title"].as_str(), says["stage"].as_str())
-            && stage != "rotation"
-        {
-            let set = joined.entry(title.to_owned()).or_default();
-            set.entry(id.to_owned()).or_insert((c.at, stage == "render"));
-        }
-    }
+    let joined = joined(&changes);
     let ran = lock(&town.registry.ran).clone();
     let mut took = Vec::new();
     for t in titles {
@@ -398,8 +387,27 @@
     out.release_p99_s = quantile(took, 0.99);
 }
 
+/// Rebuilds and renders by title, as on record: since when, and whether it is a render.
+type Joined = BTreeMap<String, (u64, bool)>;
+
+/// Every rebuild and render that was ever accepted.
+fn joined(changes: &[Change]) -> BTreeMap<String, Joined> {
+    let mut out: BTreeMap<String, Joined> = BTreeMap::new();
+    for c in changes {
+        let Some(id) = c.key.strip_prefix("job/").or_else(|| c.key.strip_prefix("done/")) else { continue };
+        let Some(says) = c.value.as_ref().and_then(|v| member(v, "release")) else { continue };
+        if let (Some(title), Some(stage)) = (says["title"].as_str(), says["stage"].as_str())
+            && stage != "rotation"
+        {
+            let set = out.entry(title.to_owned()).or_default();
+            set.entry(id.to_owned()).or_insert((c.at, stage == "render"));
+        }
+    }
+    out
+}
+
 /// Renders that are on record as accepted while their set was not open, or that are not among the members.
-fn joined_late(t: &Title, set: &Set, joined: &BTreeMap<String, (u64, bool)>, changes: &[Change]) -> u64 {
+fn joined_late(t: &Title, set: &Set, joined: &Joined, changes: &[Change]) -> u64 {
     let mut late: BTreeSet<&str> = BTreeSet::new();
     for (id, (at, _)) in joined {
         let then = set.states.iter().rev().find(|s| s.0 < *at);
@@ -426,7 +434,7 @@
     t: &Title,
     set: &Set,
     first: &Ran,
-    joined: &BTreeMap<String, (u64, bool)>,
+    joined: &Joined,
     changes: &[Change],
     clock: &Clock,
     out: &mut Outcome,
@@ -464,3 +472,76 @@
     }
     Some(first.at.saturating_duration_since(clock.of(last)?).as_secs_f64())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hazelsaddle_logs::key::AttemptKey;
+    use std::sync::{Mutex, atomic::AtomicBool};
+
+    fn head(at: u64, phase: Phase, rotated: bool, pages: usize) -> Change {
+        let night = [("begins_us", 1), ("renders_us", 2), ("due_us", 3), ("opened_us", 1)];
+        let mut body = json!({"title": "t", "night": "2026-12-01", "calendar": "c", "rotated": rotated});
+        for (key, us) in night {
+            body[key] = us.into();
+        }
+        let value = Record { version: 1, phase, pages, body }.value();
+        Change { at, key: "pact/r/t@2026-12-01".into(), value: Some(value) }
+    }
+    fn job(at: u64, id: &str, end: Option<&str>) -> Change {
+        let release = json!({"title": "t", "night": "2026-12-01", "stage": "render"});
+        let (key, value) = match end {
+            None => (format!("job/{id}"), json!({"spec": {"release": release}})),
+            Some(end) => (format!("done/{id}"), json!({"end": end, "says": {"release": release}})),
+        };
+        Change { at, key, value: Some(value) }
+    }
+    fn page(at: u64, ids: &[&str]) -> Change {
+        let items: Vec<Value> = ids.iter().map(|id| json!([id, "render"])).collect();
+        let value = json!({"form": 1, "items": items});
+        Change { at, key: "pactpage/r/t@2026-12-01/1/00000".into(), value: Some(value) }
+    }
+    fn title() -> Title {
+        let mut t = draw(&mut StdRng::seed_from_u64(1), 0, 1, [Timestamp::UNIX_EPOCH; 2]);
+        t.name = "t".into();
+        t
+    }
+    /// What is found wrong with a rotation that started at a revision: early, unrecorded, joined late.
+    fn found(changes: &[Change], revision: u64) -> (u64, u64, u64) {
+        let (t, now) = (title(), Instant::now());
+        let clock =
+            Clock { seen: Arc::new(Mutex::new(vec![(99, now)])), ended: Arc::new(AtomicBool::new(true)) };
+        let first =
+            Ran { of: AttemptKey { job: "r".into(), task: 0, attempt: 1 }, at: now, revision, end: None };
+        let sets = sets(changes);
+        let joined = joined(changes);
+        let mut out = Outcome::default();
+        let _ = started(&t, &sets["t"], &first, &joined["t"], changes, &clock, &mut out);
+        (out.early, out.unrecorded, joined_late(&t, &sets["t"], &joined["t"], changes))
+    }
+
+    #[test]
+    fn what_is_wrong_with_a_rotation_is_found_in_what_was_on_record() {
+        let open = head(1, Phase::Open, false, 0);
+        let closing = head(5, Phase::Closing, false, 0);
+        let (closed, rotated) = (head(8, Phase::Closed, false, 1), head(9, Phase::Closed, true, 1));
+        let well = [
+            open.clone(),
+            job(2, "a", None),
+            closing.clone(),
+            job(6, "a", Some("done")),
+            page(7, &["a"]),
+            closed,
+            rotated,
+        ];
+        assert_eq!(found(&well, 9), (0, 0, 0));
+        assert_eq!(found(&well, 8).0, 1, "not yet on record that it rotates");
+        assert_eq!(found(&well, 5).1, 1, "the render was not on record as done");
+        let mut cancelled = well.clone();
+        cancelled[3] = job(6, "a", Some("cancelled"));
+        assert_eq!(found(&cancelled, 9).1, 1);
+        let mut late = well.to_vec();
+        late.insert(3, job(6, "b", None));
+        assert_eq!(found(&late, 9), (0, 1, 1), "accepted while closing, and not among the members");
+    }
+}
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -97,10 +97,7 @@
         self.ended.store(true, Ordering::Relaxed);
     }
 
-    /// One request by way of the load balancer: to any node that takes the connection.
-    ///
-    /// # Errors
-    /// None, if there was no answer.
+    /// One request by way of the load balancer: to any node that takes the connection. None: no answer.
     pub fn ask(
         &self,
         method: &str,
@@ -113,7 +110,11 @@
         for _ in 0..self.api.len() {
             let at = self.api[self.turn.fetch_add(1, Ordering::Relaxed) % self.api.len()];
             let r = agent.request(method, &format!("http://{at}{path}"));
-            match text.map_or_else(|| r.clone().call(), |t| r.clone().send_string(t)) {
+            let answer = match text {
+                Some(t) => r.send_string(t),
+                None => r.call(),
+            };
+            match answer {
                 Ok(r) => return Some((r.status(), body(r))),
                 Err(ureq::Error::Status(s, r)) => return Some((s, body(r))),
                 Err(ureq::Error::Transport(t)) if t.kind() == ureq::ErrorKind::ConnectionFailed => {}
@@ -372,8 +373,8 @@
 
 /// When each revision of the state service was first seen, to a hundredth of a second.
 pub struct Clock {
-    seen: Arc<Mutex<Vec<(u64, Instant)>>>,
-    ended: Arc<AtomicBool>,
+    pub(crate) seen: Arc<Mutex<Vec<(u64, Instant)>>>,
+    pub(crate) ended: Arc<AtomicBool>,
 }
 
 impl Clock {
@@ -462,3 +463,42 @@
     let wrote = std::fs::write(&kept, town.logs()).is_ok();
     tracing::error!(seed, logs = %kept.display(), wrote, "the experiment does not hold");
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hazelsaddle_logs::key::AttemptKey;
+
+    #[test]
+    fn attempts_that_overlap_are_found() {
+        let begun = Instant::now();
+        let at = |ms| begun + Duration::from_millis(ms);
+        let ran = |task, attempt, from, to: Option<u64>| Ran {
+            of: AttemptKey { job: "wk-1".into(), task, attempt },
+            at: at(from),
+            revision: 0,
+            end: to.map(|t| (at(t), true)),
+        };
+        assert_eq!(twice(&[ran(0, 1, 0, Some(5)), ran(0, 2, 5, None), ran(1, 1, 2, None)]), 0);
+        assert_eq!(twice(&[ran(0, 2, 4, None), ran(0, 1, 0, Some(5))]), 1);
+        assert_eq!(twice(&[ran(0, 1, 0, None), ran(0, 2, 9, Some(10))]), 1);
+    }
+
+    #[test]
+    fn quantiles_are_of_the_values_themselves() {
+        assert_eq!(quantile(vec![3.0, 1.0, 2.0], 0.5), 2.0);
+        assert_eq!((quantile(vec![1.0, 9.0], 0.99), quantile(Vec::new(), 0.99)), (9.0, 0.0));
+    }
+
+    #[test]
+    fn the_seed_alone_decides_the_troubles() {
+        use rand::SeedableRng;
+        let draw = |seed| {
+            let mut rng = StdRng::seed_from_u64(seed);
+            Troubles::draw(&mut rng, 20, Duration::from_secs(3), Duration::from_secs(45)).events
+        };
+        assert_eq!(draw(4), draw(4));
+        assert_ne!(draw(4), draw(5));
+        assert!(draw(4).iter().all(|e| (50..500).contains(&(e.3.as_millis() as u64))));
+    }
+}
--- a/src/node/pacts.rs
+++ b/src/node/pacts.rs
@@ -93,6 +93,8 @@
     /// Records that the latest list has found and that are not over; the list under way.
     pub(super) listed_keys: BTreeSet<Key>,
     listing_keys: BTreeSet<Key>,
+    /// Each title's latest night on record, also one that is over: what operators mean who name none.
+    pub(super) latest: BTreeMap<String, String>,
     next_round: Micros,
     /// Ends that were read or told of since the epoch began, of members that matter.
     ends: BTreeMap<String, Stands>,
@@ -410,6 +412,12 @@
                 tracing::error!(key = %row.key, "a pact's key can't be read");
                 continue;
             };
+            if let Some((title, night)) = hazelsaddle_release::says::named(&key) {
+                let latest = self.pacts.latest.entry(title.to_owned()).or_default();
+                if latest.as_str() < night {
+                    *latest = night.to_owned();
+                }
+            }
             // What is over for good is of no use here.
             let over = Record::read(&row.value).is_ok_and(|r| self.release_over(&r));
             if over && *self.pacts.shelf.get(&key) == Held::Unread {
--- a/src/node/release.rs
+++ b/src/node/release.rs
@@ -390,13 +390,10 @@
         let night = match night {
             Some(n) => n.clone(),
             None if !self.list_since(o.began) => return None,
-            None => {
-                let mine = self.pacts.listed_keys.iter().filter_map(says::named);
-                match mine.filter(|(t, _)| t == title).map(|(_, n)| n).max() {
-                    Some(n) => n.to_owned(),
-                    None => return Some(self.no_such_title(title)),
-                }
-            }
+            None => match self.pacts.latest.get(title) {
+                Some(n) => n.clone(),
+                None => return Some(self.no_such_title(title)),
+            },
         };
         let Some(key) = says::key(title, &night) else {
             return Some(Reply::error(400, "title: can't be the name of a release"));
@@ -465,10 +462,9 @@
     }
 
     fn no_such_title(&self, title: &str) -> Reply {
-        let known: Vec<&str> =
-            self.pacts.listed_keys.iter().filter_map(says::named).map(|(t, _)| t).collect();
+        let known = self.pacts.latest.keys().map(String::as_str);
         let like = nearest(title, known).map(|t| format!("; the nearest is {t}")).unwrap_or_default();
-        Reply::error(404, &format!("no release of {title} is under way{like}"))
+        Reply::error(404, &format!("no release of {title} is on record{like}"))
     }
 
     /// Releases that are not over, as the latest list had them.
