--- a/crates/lab/src/releases.rs
+++ b/crates/lab/src/releases.rs
@@ -12,7 +12,7 @@
 use crate::worker::{Ran, Script};
 use hazelsaddle_logs::spool::Policy;
 use hazelsaddle_pact::record::{Phase, Record};
-use hazelsaddle_release::set::{Release, members};
+use hazelsaddle_release::set::{ClosedBy, Release, members};
 use jiff::{SignedDuration, Timestamp, ToSpan, tz::TimeZone};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde::Serialize;
@@ -260,6 +260,8 @@
 
 /// An operator: closes the set if that is theirs to do, and does without what was cancelled.
 fn operate(t: &Title, users: &Arc<Users>) {
+    // A count that a cancelled render leaves short is never reached.
+    let by_hand = t.closing == Closing::Operator || (t.closing == Closing::Count && t.cancels.is_some());
     let late: Vec<JoinHandle<()>> = t
         .late
         .iter()
@@ -276,7 +278,7 @@
             })
         })
         .collect();
-    if t.closing == Closing::Operator {
+    if by_hand {
         let close = json!({"title": t.name, "night": t.night}).to_string();
         users.insist("POST", "/ops/releases/close", Some(&close));
     }
@@ -465,7 +467,9 @@
     }
     let waived = |b: &Release| b.waived.len();
     for pair in set.states.windows(2) {
-        let closed = t.closing != Closing::Count && pair[0].1 == Phase::Open && pair[1].1 == Phase::Closing;
+        let closed = pair[1].2.closed_by != Some(ClosedBy::Count)
+            && pair[0].1 == Phase::Open
+            && pair[1].1 == Phase::Closing;
         if closed || waived(&pair[1].2) > waived(&pair[0].2) {
             last = last.max(pair[1].0);
         }
