--- /dev/null
+++ b/crates/freshness/src/settings.rs
@@ -0,0 +1,149 @@
+//! Which classes the guard is about: `[freshness]` in the operators' file.
+
+use std::collections::BTreeSet;
+
+/// The keys of the section.
+const KEYS: [&str; 3] = ["sources", "merges", "required"];
+/// Classes in one list at the most.
+const MOST: usize = 64;
+
+/// What operators have set.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Settings {
+    /// Classes whose runs read inputs (page splitting, field reading): each such run upstream of a merge must be of its batch.
+    pub sources: BTreeSet<String>,
+    /// Classes whose jobs may name `merges`; empty: all.
+    pub merges: BTreeSet<String>,
+    /// Sources without which a merge counts as missing one.
+    pub required: BTreeSet<String>,
+}
+
+/// A setting that can't be used. The message says why, for whoever knows file and section.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Wrong {
+    /// No such key.
+    #[error("is no setting; there are sources, merges and required (nearest: {0})")]
+    Key(&'static str),
+    /// Something in the list is no name of a class.
+    #[error("{0:?} is no name of a class")]
+    Name(String),
+    /// No job is of this class, as far as the platform's file says.
+    #[error("no class is called {0:?}; the nearest is {1:?}")]
+    Unknown(String, String),
+    /// The same class twice in a list.
+    #[error("names {0:?} twice")]
+    Twice(String),
+    /// The list is too long.
+    #[error("names {MOST} classes at the most")]
+    Many,
+    /// A class is required and no source.
+    #[error("{0:?} is not among the sources")]
+    NoSource(String),
+    /// A class can't be both.
+    #[error("{0:?} is among the sources as well; a merge writes what its sources read")]
+    Both(String),
+}
+
+impl Settings {
+    /// Takes one key and its value: classes with commas between.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    pub fn set(&mut self, key: &str, value: &str) -> Result<(), Wrong> {
+        let list = match key {
+            "sources" => &mut self.sources,
+            "merges" => &mut self.merges,
+            "required" => &mut self.required,
+            _ => return Err(Wrong::Key(nearest(key, KEYS).unwrap_or("sources"))),
+        };
+        for name in value.split(',').map(str::trim).filter(|p| !p.is_empty()) {
+            if name.len() > 100 || name.contains(|c: char| c.is_whitespace() || c.is_control()) {
+                return Err(Wrong::Name(name.to_owned()));
+            }
+            if !list.insert(name.to_owned()) {
+                return Err(Wrong::Twice(name.to_owned()));
+            }
+        }
+        if list.len() > MOST { Err(Wrong::Many) } else { Ok(()) }
+    }
+
+    /// Checks what only shows once all keys are there: the key at fault and why. `classes`: those that the platform's file
+    /// has objectives for; empty if it has none.
+    ///
+    /// # Errors
+    /// The first that is wrong.
+    pub fn check<'a>(
+        &self,
+        classes: impl Iterator<Item = &'a str> + Clone,
+    ) -> Result<(), (&'static str, Wrong)> {
+        for (key, list) in
+            [("sources", &self.sources), ("merges", &self.merges), ("required", &self.required)]
+        {
+            for name in list {
+                let near = nearest(name, classes.clone());
+                if let Some(near) = near.filter(|n| n != name) {
+                    return Err((key, Wrong::Unknown(name.clone(), near.to_owned())));
+                }
+            }
+        }
+        if let Some(name) = self.required.difference(&self.sources).next() {
+            return Err(("required", Wrong::NoSource(name.clone())));
+        }
+        match self.merges.intersection(&self.sources).next() {
+            Some(name) => Err(("merges", Wrong::Both(name.clone()))),
+            None => Ok(()),
+        }
+    }
+
+    /// Whether jobs of this class may name `merges`.
+    #[must_use]
+    pub fn merges(&self, class: &str) -> bool {
+        self.merges.is_empty() || self.merges.contains(class)
+    }
+}
+
+/// The known name with the fewest changes to this one.
+#[must_use]
+pub fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    let distance = |other: &str| {
+        let other: Vec<char> = other.chars().collect();
+        let mut row: Vec<usize> = (0..=other.len()).collect();
+        for (i, a) in name.chars().enumerate() {
+            let mut corner = row[0];
+            row[0] = i + 1;
+            for (j, b) in other.iter().enumerate() {
+                let next = (corner + usize::from(a != *b)).min(row[j] + 1).min(row[j + 1] + 1);
+                corner = std::mem::replace(&mut row[j + 1], next);
+            }
+        }
+        row.last().copied().unwrap_or(0)
+    };
+    known.into_iter().min_by_key(|k| distance(k))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_unknown_or_wrong_is_named() {
+        let mut s = Settings::default();
+        assert_eq!(s.set("sources", "bet-bolu, oris-oqu"), Ok(()));
+        assert_eq!(s.set("source", "x"), Err(Wrong::Key("sources")));
+        assert_eq!(s.set("merges", "aimak merge"), Err(Wrong::Name("aimak merge".into())));
+        assert_eq!(s.set("merges", "aimak-merge,aimak-merge"), Err(Wrong::Twice("aimak-merge".into())));
+        let classes = ["bet-bolu", "oris-oqu", "til-tekser", "aimak-merge"];
+        assert_eq!(s.check(classes.into_iter()), Ok(()));
+        s.required = ["til-tekser".to_owned()].into();
+        assert_eq!(s.check(classes.into_iter()), Err(("required", Wrong::NoSource("til-tekser".into()))));
+        s.required = ["bet-bolo".to_owned()].into();
+        assert_eq!(
+            s.check(classes.into_iter()),
+            Err(("required", Wrong::Unknown("bet-bolo".into(), "bet-bolu".into())))
+        );
+        s.required = BTreeSet::new();
+        s.merges.insert("oris-oqu".into());
+        assert_eq!(s.check([].into_iter()), Err(("merges", Wrong::Both("oris-oqu".into()))));
+        assert!(!s.merges("bet-bolu") && Settings::default().merges("bet-bolu"));
+    }
+}
