--- a/crates/freshness/src/batch.rs
+++ b/crates/freshness/src/batch.rs
@@ -19,7 +19,7 @@
 }
 
 /// A permit to write tables of a batch.
-#[derive(Serialize, Deserialize, Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Permit {
     /// The merge.
     pub job: String,
@@ -41,7 +41,7 @@
 }
 
 /// What is on record of a batch.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Batch {
     /// Its version. It only rises.
     pub version: u64,
