Stale inputs in the daemon: acceptance, guard at start and at write, permits, operators' requests

A merge's hold is lifted only on a reading of its batch and of all upstream records; a stale running one is stopped with nothing saved; a permit is on record before it is given. A run that names a newer version raises it in its own transaction.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -2,12 +2,14 @@
 
 pub use follow::{Hold, says_of_record};
 pub use plan::headroom;
+pub use stale::Attempt;
 
 mod blame;
 pub(crate) mod follow;
 mod handover;
 mod plan;
 mod records;
+mod stale;
 mod sync;
 mod vouch;
 
@@ -175,6 +177,8 @@
     pub replan: bool,
     blame: Blame,
     waiting: Waiting,
+    /// Every end says its job's class: what is upstream of a merge must be known by it.
+    keep_class: bool,
     demands: Vec<Demand>,
     gang_wait: Micros,
     objectives: Vec<Objective>,
@@ -233,6 +237,7 @@
             replan: true,
             blame: Blame::default(),
             waiting: Waiting::default(),
+            keep_class: s.operators.freshness.is_some(),
             demands: Vec::new(),
             gang_wait: s.gang_wait,
             objectives: s.objectives.clone(),
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -76,7 +76,10 @@
                     && now >= j.next_write
                 {
                     j.writing = true;
-                    let value = Owner::end_record(&j.raw, f, j.done.len());
+                    let mut value = Owner::end_record(&j.raw, f, j.done.len());
+                    if self.keep_class && value.get("says").is_none() {
+                        value["says"] = json!({"breed": j.spec.class});
+                    }
                     return Some((id.clone(), RecordWrite::End(f, value), j.mark));
                 }
             } else if j.ending.is_none() && j.done.len() > j.durable.len() && now >= j.next_write {
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,6 +16,7 @@
 mod workers;
 
 use self::follow::Follow;
+use self::freshness::{FreshPurpose, Freshness};
 use self::handover::Handover;
 pub use self::handover::LEAVING;
 use self::pacts::{PactPurpose, Pacts};
@@ -32,6 +33,7 @@
 use crate::store::{Budget, Commit, Row, StoreAnswer, StoreRequest};
 use crate::teams::{ClaimWrite, Teams};
 use crate::units::{Micros, Ranges};
+use hazelsaddle_pact::record::{Key, Record};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -128,6 +130,7 @@
     ReadTeam(String),
     NoteForms(u64),
     Pact(PactPurpose),
+    Fresh(FreshPurpose),
     Revision,
     Watch,
     ReadEnd(String),
@@ -155,6 +158,10 @@
     unknown: BTreeSet<String>,
     /// When it came, by the steady clock.
     began: Micros,
+    /// Readings that decide about it must have begun since.
+    since: Micros,
+    /// A record that is put on record together with it, and when that went out.
+    with: Option<(Key, Record, Micros)>,
 }
 
 /// A request passed to a peer.
@@ -211,6 +218,7 @@
     accepting: BTreeMap<String, Accepting>,
     follow: Follow,
     pacts: Pacts,
+    fresh: Freshness,
     handover: Handover,
     witness: Witness,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
@@ -271,6 +279,7 @@
             accepting: BTreeMap::new(),
             follow: Follow::default(),
             pacts: Pacts::default(),
+            fresh: Freshness::default(),
             handover: Handover::new(n),
             witness: Witness::new(n),
             lookups: BTreeMap::new(),
@@ -459,6 +468,7 @@
             "waiting": {"jobs": waiting.len(), "oldest": oldest},
             "takes_follows": self.takes_follows(),
             "pacts": self.pact_status(),
+            "batches": self.batch_status(),
             "suspected": {"jobs": bad_jobs, "machines": bad_machines},
             "overdue": self.fleet.overdue,
             "teams": teams,
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -193,6 +193,7 @@
         self.home.adopt(now, &self.membership, follows, |job| ring_before.owner(&format!("job/{job}")));
         self.owner.adopt(&self.membership, follows);
         self.pacts_anew();
+        self.batches_anew();
         // All records are read again, by everybody.
         self.standing_in.clear();
         self.teams.unread();
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -150,7 +150,7 @@
     }
 
     fn watches(&self) -> bool {
-        self.owner.watches() || self.pact_watches()
+        self.owner.watches() || self.pact_watches() || self.batches_watch()
     }
 
     /// Watches for the ends of jobs that others wait for, and reads those that no watch tells of.
@@ -191,12 +191,14 @@
                 // Whatever ended before this must be read; whatever ends later will be told.
                 self.owner.unwatched();
                 self.pacts_unwatched();
+                self.batches_unwatched(now);
                 self.follow.watch = Watch::At(revision, false);
             }
             (Watch::At(after, _), StoreAnswer::Changes(revision, written)) => {
                 self.follow.watch = Watch::At(after.max(revision), false);
                 for (key, value) in written {
                     let Some(id) = key.strip_prefix("done/") else { continue };
+                    self.run_ended(id, &value);
                     if self.owner.is_awaited(id) || self.pact_awaits(id) {
                         self.end_read(now, id, &value);
                     }
@@ -368,14 +370,16 @@
             Gate::Later(why) => return self.give_up(now, &id, Reply::later(&why), out),
             Gate::Never(why) => return self.refuse(id, why, out),
         };
-        if !self.writes.take(now, 1.0, 0.0) {
+        let cost = if self.accepting.get(&id).is_some_and(|a| a.with.is_some()) { 2.0 } else { 1.0 };
+        if !self.writes.take(now, cost, 0.0) {
             return self.give_up(now, &id, Reply::later("overloaded"), out);
         }
         let Some(a) = self.accepting.get(&id) else { return };
         let value = Owner::new_record(&a.raw, &a.spec, a.wall);
         let mut conditions = vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)];
         conditions.extend(joins);
-        let puts = vec![(format!("job/{id}"), value, None)];
+        let mut puts = vec![(format!("job/{id}"), value, None)];
+        puts.extend(a.with.iter().map(|(key, record, _)| (key.head(), record.value(), None)));
         let c = Commit { conditions, puts, drops: Vec::new() };
         self.ask_store(Purpose::Accept(id, self.membership.epoch), StoreRequest::Commit(c), out);
     }
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -1,46 +1,459 @@
-//! Batches: merges start, and write, only on fresh inputs.
+//! Batches: merges start, and write, only on fresh inputs. The record, the walk upstream and the decisions are in
+//! `crates/freshness`; this feeds them and carries out what they say.
+
+mod permits;
+mod show;
 
 use super::pacts::{Gate, Operating};
 use super::*;
+use crate::api::ops::OpRequest;
+use crate::jobs::follow::unpacked;
+use crate::jobs::{Attempt, Hold, Job};
+use hazelsaddle_freshness::batch::{Batch, Permit, Put, Writer};
+use hazelsaddle_freshness::guard::{self, Answer, Merge, Verdict};
+use hazelsaddle_freshness::settings::{Settings as Classes, nearest};
+use hazelsaddle_freshness::upstream::{Known, Look, Of, Run, Says};
+use hazelsaddle_pact::census::Stands;
+use hazelsaddle_pact::record::{Key, Kind as Sort, Record};
+use hazelsaddle_pact::shelf::Held;
+
+/// Merges are looked at so often, and at once when something is new.
+const PAUSE: Micros = Micros::from_millis(300);
+/// A merge starts nothing more on a reading older than this.
+const RECENT: Micros = Micros::from_millis(3_000);
+/// A writer waits so long for its answer before it is told to ask again.
+const PATIENCE: Micros = Micros::from_millis(3_000);
+/// What jobs say is remembered of so many; what they say never changes.
+const KNOWN: usize = 20_000;
+/// A record that can't be read is read again after so long.
+const AGAIN: Micros = Micros::from_millis(5_000);
+/// Writers' questions under way at the most.
+const ASKING: usize = 500;
+/// Permits of attempts that have ended are given back so often, for each batch.
+const RELEASE: Micros = Micros::from_millis(1_000);
+/// Batches shown in one list.
+const LISTED: usize = 1000;
+
+/// What a request to the state service was for.
+#[derive(Clone, Debug)]
+pub(super) enum FreshPurpose {
+    /// What a job says: its live record, then its final one.
+    Says(String, bool),
+    /// A page of batches, for an operator's ticket.
+    Heads(u64),
+}
+
+/// A writer's question.
+struct Asking {
+    from: Origin,
+    job: String,
+    attempt: u64,
+    task: u32,
+    came: Micros,
+}
+
+/// What this controller knows of a merge of its.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    /// When it was first looked at in this epoch: what was read before counts for nothing.
+    since: Micros,
+    /// It was found stale; runs that supersede the old ones are looked for.
+    stale: bool,
+}
+
+/// What has happened since the process started. For operators.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    permits: u64,
+    refused: u64,
+    stopped: u64,
+    raised: u64,
+}
+
+/// What this controller knows of batches.
+#[derive(Default)]
+pub(super) struct Freshness {
+    next: Micros,
+    merges: BTreeMap<String, Seen>,
+    /// What jobs of other owners, or ended ones, say.
+    says: BTreeMap<String, Says>,
+    /// Records to be read, and those being read.
+    unread: BTreeSet<String>,
+    reading: BTreeSet<String>,
+    unreadable: BTreeMap<String, Micros>,
+    asking: Vec<Asking>,
+    /// Done runs that the watch told of, by head; only of batches that a stale merge of ours is of.
+    runs: BTreeMap<String, BTreeSet<Run>>,
+    /// The watch tells of all ends since then.
+    watched: Option<Micros>,
+    released: BTreeMap<Key, Micros>,
+    /// Lists under way, by operator's ticket: the key read last, rows so far, and whether all is there.
+    lists: BTreeMap<u64, (String, Vec<Value>, bool, bool)>,
+    counts: Counts,
+}
+
+/// What a record of a job says, live or final; None: it can't be read.
+fn says_of(record: &Value, end: bool) -> Option<Says> {
+    let (text, says) = if end {
+        read_end(record)?;
+        (record.get("says").cloned().unwrap_or_default(), record.get("says").is_some())
+    } else {
+        let breed = record.get("spec")?.get("breed")?.clone();
+        let mut says = crate::jobs::says_of_record(record).unwrap_or_else(|| json!({}));
+        says["breed"] = breed;
+        (says, true)
+    };
+    // It ended before classes were kept, or while the guard was off.
+    if !says {
+        return Some(Says::default());
+    }
+    let batch = match text.get("batch") {
+        None => None,
+        Some(b) => {
+            Some(Of { name: b.get("name")?.as_str()?.to_owned(), version: b.get("version")?.as_u64()? })
+        }
+    };
+    let follows = text.get("follows").and_then(Value::as_str).map(unpacked).unwrap_or_default();
+    Some(Says { class: text.get("breed").and_then(Value::as_str).map(str::to_owned), batch, follows })
+}
+
+fn says_of_job(j: &Job) -> Says {
+    let batch = j.spec.batch.as_ref().map(|b| Of { name: b.name.clone(), version: b.version });
+    Says { class: Some(j.spec.class.clone()), batch, follows: j.followed() }
+}
+
+fn run_of(job: &str, says: &Value) -> Option<Run> {
+    let version = says.get("version")?.as_u64()?;
+    Some(Run { job: job.to_owned(), class: says.get("breed")?.as_str()?.to_owned(), version })
+}
 
 impl Node {
+    fn classes(&self) -> Option<&Classes> {
+        self.settings.operators.freshness.as_ref()
+    }
+
     /// Whether operators have switched the guard on.
     pub(super) fn batches_on(&self) -> bool {
-        false
+        self.classes().is_some()
     }
 
-    /// The condition on which a submission that names a batch is taken.
-    pub(super) fn batch_gate(&mut self, _now: Micros, id: &str, _out: &mut Vec<Effect>) -> Gate {
-        match self.accepting.get(id).map(|a| &a.spec) {
-            Some(s) if s.batch.is_some() => Gate::Never("batch: batches are not switched on here".into()),
-            Some(s) if s.merges.is_some() => Gate::Never("merges: batches are not switched on here".into()),
-            _ => Gate::Open(Vec::new()),
+    // ---- Acceptance ----
+
+    /// The condition on which a submission that names a batch is taken. A run that names a newer version than the one on
+    /// record raises it in the transaction that puts the run on record: a repeated submission that names another version
+    /// fails on the run's record, and then raises nothing.
+    pub(super) fn batch_gate(&mut self, now: Micros, id: &str, _out: &mut Vec<Effect>) -> Gate {
+        let Some(a) = self.accepting.get_mut(id) else { return Gate::Open(Vec::new()) };
+        if a.with.take().is_some() {
+            // The record had changed when this was to be put on record: one that is newer must be read.
+            a.since = now;
+        }
+        let (since, spec) = (a.since, &a.spec);
+        if spec.batch.is_none() && spec.merges.is_none() {
+            return Gate::Open(Vec::new());
+        }
+        let Some(classes) = self.settings.operators.freshness.as_ref() else {
+            return Gate::Never("batch: batches are not switched on here".into());
+        };
+        if spec.merges.is_some() && !classes.merges(&spec.class) {
+            let list: Vec<&str> = classes.merges.iter().map(String::as_str).collect();
+            let (class, list) = (&spec.class, list.join(", "));
+            return Gate::Never(format!("merges: {class} writes no tables; those that may name it: {list}"));
+        }
+        if spec.merges.is_some() && spec.rotates() {
+            return Gate::Never("merges: a rotation can't be a merge as well".into());
+        }
+        let Some((key, version)) = spec.batch.as_ref().and_then(|b| Some((b.key()?, b.version))) else {
+            return Gate::Open(Vec::new());
+        };
+        // An older one is taken and is simply old: to refuse it would turn a repeated submission away, and it harms
+        // nobody, since nothing that rests on it starts. Versions only rise, so any reading will do for that.
+        if matches!(self.pact(now, &key), Held::Is(r) if version <= r.version) {
+            return Gate::Open(Vec::new());
+        }
+        if self.accepting.values().any(|a| a.with.as_ref().is_some_and(|(k, ..)| *k == key)) {
+            return Gate::Wait;
         }
+        let next = match self.pact_since(now, &key, since) {
+            None | Some(Held::Unread) => return Gate::Wait,
+            Some(Held::Unreadable(why)) => return Gate::Later(format!("the record of its batch: {why}")),
+            Some(Held::Absent) => Batch::first(version),
+            Some(Held::Is(r)) => match Batch::read(&r).map(|b| b.put(version)) {
+                Ok(Ok(Put::Raised(next))) => next,
+                Ok(_) => return Gate::Open(Vec::new()),
+                Err(why) => return Gate::Later(format!("the record of its batch: {why}")),
+            },
+        };
+        let condition = self.join_of(&key);
+        if let Some(a) = self.accepting.get_mut(id) {
+            a.with = Some((key, next.record(), now));
+        }
+        Gate::Open(vec![condition])
     }
 
-    /// What batches need in each round.
-    pub(super) fn batch_loop(&mut self, _now: Micros, _out: &mut Vec<Effect>) {}
+    /// A run was put on record with a newer version of its batch.
+    pub(super) fn raised(&mut self, id: &str, with: Option<(Key, Record, Micros)>, mark: u64) {
+        let Some((key, record, sent)) = with else { return };
+        tracing::info!(batch = %key.name(), version = record.version, by = id, "batch is at a newer version");
+        self.fresh.counts.raised += 1;
+        self.fresh.next = Micros(0);
+        self.pacts.shelf.committed(&key, sent, record, mark);
+    }
 
-    /// An operator's request about batches: the answer, or None if it is to be asked again in the next round.
-    pub(super) fn batch_request(
-        &mut self,
-        _now: Micros,
-        _r: &Operating,
-        _out: &mut Vec<Effect>,
-    ) -> Option<Reply> {
-        Some(Reply::error(404, "batches are not switched on here"))
+    // ---- What jobs say ----
+
+    /// What is known of a job. All that a merge follows is done on record before it is looked at here, so whatever is
+    /// upstream of it has ended, also where a live record was the last that was read.
+    fn known_of(&self, id: &str) -> Known {
+        if let Some(j) = self.owner.jobs.get(id) {
+            return Known::Ended(says_of_job(j));
+        }
+        match self.fresh.says.get(id) {
+            Some(s) => Known::Ended(s.clone()),
+            None if self.fresh.unreadable.contains_key(id) => Known::Unreadable,
+            None => Known::Unread,
+        }
+    }
+
+    fn read_says(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let due: Vec<String> =
+            self.fresh.unreadable.iter().filter(|(_, t)| now >= **t).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.fresh.unreadable.remove(&id);
+        }
+        while self.in_flight.len() < IN_FLIGHT && now >= self.store_pause && self.requests.level(now) >= 0.3 {
+            let Some(id) = self.fresh.unread.pop_first() else { break };
+            if self.fresh.says.contains_key(&id) || !self.fresh.reading.insert(id.clone()) {
+                continue;
+            }
+            self.requests.take(now, 1.0, 0.0);
+            let get = StoreRequest::Get(format!("job/{id}"));
+            self.ask_store(Purpose::Fresh(FreshPurpose::Says(id, false)), get, out);
+        }
     }
 
-    /// A merge asks whether it may write; its job is ours to answer for. None: answered later.
-    pub(super) fn permit(
+    /// An answer of the state service.
+    pub(super) fn fresh_answer(
         &mut self,
-        _now: Micros,
-        _from: Origin,
-        _id: &str,
-        _attempt: u64,
-        _task: u32,
-        _out: &mut Vec<Effect>,
-    ) -> Option<Reply> {
-        Some(Reply::error(404, "batches are not switched on here"))
+        now: Micros,
+        p: FreshPurpose,
+        a: StoreAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        let (id, end) = match p {
+            FreshPurpose::Says(id, end) => (id, end),
+            FreshPurpose::Heads(ticket) => return self.listed(ticket, a),
+        };
+        match a {
+            StoreAnswer::Got(Some(row)) => {
+                self.fresh.reading.remove(&id);
+                if self.fresh.says.len() >= KNOWN {
+                    self.fresh.says.clear();
+                }
+                match says_of(&row.value, end) {
+                    Some(s) => {
+                        self.fresh.says.insert(id, s);
+                    }
+                    None => {
+                        tracing::error!(job = %id, "unreadable record: merges that rest on it are held");
+                        self.fresh.unreadable.insert(id, now + AGAIN);
+                    }
+                }
+                if self.fresh.unread.is_empty() && self.fresh.reading.is_empty() {
+                    self.fresh.next = Micros(0);
+                }
+            }
+            // It may have ended between the two: in this order it is seen in one of them.
+            StoreAnswer::Got(None) if !end => {
+                let get = StoreRequest::Get(format!("done/{id}"));
+                self.ask_store(Purpose::Fresh(FreshPurpose::Says(id, true)), get, out);
+            }
+            StoreAnswer::Got(None) => {
+                self.fresh.reading.remove(&id);
+                tracing::error!(job = %id, "no record of a job that a merge rests on");
+                self.fresh.unreadable.insert(id, now + AGAIN);
+            }
+            _ => {
+                self.fresh.reading.remove(&id);
+                self.fresh.unread.insert(id);
+            }
+        }
+    }
+
+    // ---- Runs that supersede ----
+
+    /// Whether ends must be watched, since one of them may let a stale merge go on.
+    pub(super) fn batches_watch(&self) -> bool {
+        self.fresh.merges.values().any(|s| s.stale)
+    }
+
+    /// The watch begins only now: what ended before must be found by a census.
+    pub(super) fn batches_unwatched(&mut self, now: Micros) {
+        self.fresh.watched = Some(now);
+    }
+
+    /// The watch tells of an end.
+    pub(super) fn run_ended(&mut self, id: &str, value: &Value) {
+        if self.fresh.runs.is_empty() || !matches!(read_end(value), Some((Final::Done, _))) {
+            return;
+        }
+        let Some(says) = value.get("says") else { return };
+        let Some(b) = says.get("batch") else { return };
+        let key = b.get("name").and_then(Value::as_str).and_then(|n| Key::new(Sort::Batch, n).ok());
+        let mut b = b.clone();
+        b["breed"] = says.get("breed").cloned().unwrap_or_default();
+        if let Some(runs) = key.and_then(|k| self.fresh.runs.get_mut(&k.head()))
+            && let Some(run) = run_of(id, &b)
+        {
+            runs.insert(run);
+            self.fresh.next = Micros(0);
+        }
+    }
+
+    /// Done runs under a batch, as far as they are known: a census once a merge was found stale, and then the watch.
+    fn runs_of(&mut self, key: &Key, stale: bool) -> BTreeSet<Run> {
+        let head = key.head();
+        if !stale && !self.fresh.runs.contains_key(&head) {
+            return BTreeSet::new();
+        }
+        let mut runs = self.fresh.runs.entry(head).or_default().clone();
+        if let Some(since) = self.fresh.watched
+            && let Some(members) = self.census_since(key, since)
+        {
+            let done = members.iter().filter(|(_, m)| m.stands == Stands::Done);
+            runs.extend(done.filter_map(|(id, m)| run_of(id, &m.says)));
+        }
+        runs
+    }
+
+    // ---- The guard ----
+
+    /// A new epoch: each merge is looked at anew.
+    pub(super) fn batches_anew(&mut self) {
+        self.fresh.merges.clear();
+        self.fresh.runs.clear();
+        self.fresh.watched = None;
+        self.fresh.next = Micros(0);
+    }
+
+    fn verdict(&mut self, held: &Held, merge: &Merge, key: &Key, stale: bool) -> Verdict {
+        let runs = self.runs_of(key, stale);
+        let Some(classes) = self.classes() else {
+            return Verdict::Unknown(guard::Why::Record("the guard is not switched on here".into()));
+        };
+        let (found, _) = hazelsaddle_freshness::upstream::closure(&merge.follows, |id| self.known_of(id));
+        let unread: Vec<String> =
+            found.into_iter().filter(|(_, k)| *k == Known::Unread).map(|(id, _)| id).collect();
+        let verdict = merge.verdict(classes, held, |id| self.known_of(id), &runs);
+        self.fresh.unread.extend(unread);
+        verdict
+    }
+
+    fn merge_of(&self, id: &str) -> Option<(Key, Merge)> {
+        let j = self.owner.jobs.get(id)?;
+        let m = j.spec.merges.as_ref()?;
+        let of = Of { name: m.name.clone(), version: m.version };
+        Some((m.key()?, Merge { of, follows: j.followed() }))
+    }
+
+    /// What batches need in each round.
+    pub(super) fn batch_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now >= self.fresh.next {
+            self.fresh.next = now + PAUSE;
+            self.look_at_merges(now);
+            self.release_permits(now, out);
+        }
+        let operating = &self.pacts.operating;
+        self.fresh.lists.retain(|ticket, _| operating.iter().any(|o| o.ticket == *ticket));
+        // A census is asked for in each round, until it is there.
+        let shown: Vec<(Key, Micros)> = operating
+            .iter()
+            .filter_map(|o| match &o.request {
+                OpRequest::Batch(name) => Some((Key::new(Sort::Batch, name).ok()?, o.began)),
+                _ => None,
+            })
+            .collect();
+        for (key, began) in shown {
+            self.census_since(&key, began);
+        }
+        let stale: BTreeSet<Key> = self
+            .fresh
+            .merges
+            .iter()
+            .filter(|(_, s)| s.stale)
+            .filter_map(|(id, _)| self.merge_of(id).map(|(key, _)| key))
+            .collect();
+        for key in stale {
+            if let Some(since) = self.fresh.watched {
+                self.census_since(&key, since);
+            }
+        }
+        self.answer_writers(now, out);
+        self.read_says(now, out);
+    }
+
+    fn look_at_merges(&mut self, now: Micros) {
+        let ids: Vec<String> = self
+            .owner
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.spec.merges.is_some() && j.ending.is_none() && j.waits_for().next().is_none())
+            .map(|(id, _)| id.clone())
+            .collect();
+        self.fresh.merges.retain(|id, _| ids.binary_search(id).is_ok());
+        let mut heads = BTreeSet::new();
+        for id in ids {
+            let Some((key, merge)) = self.merge_of(&id) else { continue };
+            let mut seen = self.fresh.merges.get(&id).cloned().unwrap_or(Seen { since: now, stale: false });
+            let held = self.pact(now, &key);
+            let verdict = self.verdict(&held, &merge, &key, seen.stale);
+            let since = seen.since.max(Micros(now.0.saturating_sub(RECENT.0)));
+            let recent = self.pacts.shelf.get_since(&key, since).is_some();
+            if !recent {
+                self.pact_since(now, &key, since);
+            }
+            match verdict {
+                Verdict::Fresh(_) => seen.stale = false,
+                Verdict::Stale(..) => seen.stale = true,
+                // Nothing new: what was looked for still is.
+                Verdict::Unknown(_) => {}
+            }
+            if seen.stale {
+                heads.insert(key.head());
+                self.fresh.runs.entry(key.head()).or_default();
+            }
+            self.fresh.merges.insert(id.clone(), seen);
+            self.guard_merge(&id, &held, &verdict, recent);
+        }
+        self.fresh.runs.retain(|head, _| heads.contains(head));
+    }
+
+    /// Lifts a merge's hold, or holds it; what runs of one whose inputs are old is stopped.
+    fn guard_merge(&mut self, id: &str, held: &Held, verdict: &Verdict, recent: bool) {
+        let Some(j) = self.owner.jobs.get(id) else { return };
+        if verdict.may_start() && recent {
+            if matches!(j.hold(), Some(Hold::Batch(_))) {
+                self.owner.lift(id);
+            }
+            return;
+        }
+        let why = match verdict {
+            Verdict::Fresh(_) => "the record of its batch must be read again".to_owned(),
+            v => v.reason(),
+        };
+        if j.hold().is_none_or(|h| h.why() != why) {
+            tracing::info!(job = id, reason = %why, "merge is held");
+            self.owner.hold(id, Hold::Batch(why));
+        }
+        if matches!(verdict, Verdict::Stale(..)) {
+            let writes = |task: Option<u32>, attempt: u64| {
+                !verdict.must_stop(held, &Writer { job: id.to_owned(), attempt, task })
+            };
+            let stopped = self.owner.stop_stale(id, writes);
+            if stopped > 0 {
+                self.fresh.counts.stopped += stopped as u64;
+                tracing::info!(job = id, tasks = stopped, "merge on old inputs is stopped, nothing is saved");
+            }
+        }
     }
 }
--- /dev/null
+++ b/src/node/freshness/permits.rs
@@ -0,0 +1,151 @@
+//! Who may write: a permit of the batch's version, on record, given from a record that was read after the question came.
+
+use super::*;
+
+fn told(l: &Look) -> Value {
+    let old = l.old.iter().map(|o| {
+        json!({"job": o.job, "class": o.class, "batch": o.read.as_ref().map(|r| &r.name),
+            "version": o.read.as_ref().map(|r| r.version)})
+    });
+    json!({"old": old.collect::<Vec<_>>(), "missing": l.missing})
+}
+
+impl Node {
+    /// A merge asks whether it may write; its job is ours to answer for. None: answered later.
+    pub(in crate::node) fn permit(
+        &mut self,
+        now: Micros,
+        from: Origin,
+        id: &str,
+        attempt: u64,
+        task: u32,
+        _out: &mut Vec<Effect>,
+    ) -> Option<Reply> {
+        if !self.batches_on() {
+            return Some(Reply::error(404, "batches are not switched on here"));
+        }
+        let j = self.owner.jobs.get(id)?;
+        if j.spec.merges.is_none() {
+            return Some(Reply::error(409, "the job names no batch that it merges"));
+        }
+        if task >= j.spec.tasks {
+            return Some(Reply::error(404, "no such task"));
+        }
+        if self.fresh.asking.len() >= ASKING {
+            return Some(Reply::later("overloaded"));
+        }
+        let job = id.to_owned();
+        self.fresh.asking.push(Asking { from, job, attempt, task, came: now });
+        None
+    }
+
+    pub(super) fn answer_writers(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        for a in std::mem::take(&mut self.fresh.asking) {
+            let reply = if now.since(a.came) >= PATIENCE {
+                Some(Reply::later("the batch's record could not be read or changed in time"))
+            } else {
+                self.answer_writer(now, &a, out)
+            };
+            match reply {
+                Some(r) => {
+                    match r.status {
+                        200 => self.fresh.counts.permits += 1,
+                        409 => self.fresh.counts.refused += 1,
+                        _ => {}
+                    }
+                    self.reply(now, a.from, r, out);
+                }
+                None => self.fresh.asking.push(a),
+            }
+        }
+    }
+
+    /// The answer to a writer, from a record that was read after its question came; None: not yet.
+    fn answer_writer(&mut self, now: Micros, a: &Asking, out: &mut Vec<Effect>) -> Option<Reply> {
+        if !self.answers_for(now, &a.job) {
+            return Some(Reply::later("taking over"));
+        }
+        let Some(j) = self.owner.jobs.get(&a.job).filter(|j| j.ending.is_none()) else {
+            return Some(Reply::error(409, "the job has ended"));
+        };
+        let task = (j.spec.kind != Kind::Gang).then_some(a.task);
+        let standing = self.owner.attempt(&a.job, task, a.attempt);
+        match standing {
+            Attempt::Over => return Some(Reply::error(409, "no such attempt runs")),
+            Attempt::Unknown => return Some(Reply::later("taking over")),
+            Attempt::Stands | Attempt::Stopping => {}
+        }
+        let (key, merge) = self.merge_of(&a.job)?;
+        let held = self.pact_since(now, &key, a.came)?;
+        let stale = self.fresh.merges.get(&a.job).is_some_and(|s| s.stale);
+        let verdict = self.verdict(&held, &merge, &key, stale);
+        let writer = Writer { job: a.job.clone(), attempt: a.attempt, task };
+        // What has ended makes room for what begins.
+        let known = match &held {
+            Held::Is(r) => Batch::read(r).ok().and_then(|b| b.release(|p| self.permit_over(p))),
+            _ => None,
+        };
+        let held = known.map_or(held, |b| Held::Is(b.record()));
+        match guard::permit(&verdict, &held, &writer, self.settings.value_bytes) {
+            Answer::Holds(p) => {
+                let batch = merge.of.name;
+                Some(Reply::json(200, &json!({"batch": batch, "version": p.version, "fence": p.fence})))
+            }
+            Answer::Write(..) if standing == Attempt::Stopping => {
+                Some(Reply::error(409, "the attempt is being stopped"))
+            }
+            Answer::Write(next, p) => {
+                if self.change_pact(now, &key, next.record(), Vec::new(), None, out) {
+                    tracing::info!(job = %a.job, attempt = a.attempt, task = a.task, batch = %key.name(),
+                        version = p.version, fence = p.fence, "permit to write");
+                }
+                None
+            }
+            Answer::Stale(version, look) => {
+                tracing::info!(job = %a.job, attempt = a.attempt, reason = %verdict.reason(), "permit refused");
+                let mut body = told(&look);
+                body["error"] = verdict.reason().into();
+                body["batch"] = merge.of.name.into();
+                body["version"] = version.into();
+                self.fresh.next = Micros(0);
+                Some(Reply::json(409, &body))
+            }
+            Answer::Overtaken => Some(Reply::error(409, "a newer attempt of the task writes")),
+            // Records are still being read: within its patience.
+            Answer::Later(_) => None,
+        }
+    }
+
+    /// Whether a permit's attempt has certainly ended, as far as its job's owner knows; only that one says so.
+    fn permit_over(&self, p: &Permit) -> bool {
+        self.owner.loaded
+            && self.membership.job_owner(&p.job) == Some(self.settings.me)
+            && self.owner.attempt(&p.job, p.task, p.attempt) == Attempt::Over
+    }
+
+    pub(super) fn release_permits(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if self.writes.level(now) < 0.6 || !self.membership.others_have_stopped(now) {
+            return;
+        }
+        self.fresh.released.retain(|_, t| now < *t);
+        let over = |b: &Batch| b.release(|p| self.permit_over(p));
+        let due: Vec<(Key, Batch)> = self
+            .pacts
+            .shelf
+            .iter()
+            .filter(|(k, _)| k.kind() == Sort::Batch && !self.fresh.released.contains_key(k))
+            .filter_map(|(k, h)| match h {
+                Held::Is(r) => Some((k.clone(), over(&Batch::read(r).ok()?)?)),
+                _ => None,
+            })
+            .collect();
+        for (key, next) in due {
+            // Read on until its permits are given back.
+            self.pact(now, &key);
+            self.fresh.released.insert(key.clone(), now + RELEASE);
+            if self.change_pact(now, &key, next.record(), Vec::new(), None, out) {
+                tracing::debug!(batch = %key.name(), held = next.permits.len(), "permits given back");
+            }
+        }
+    }
+}
--- a/src/node/pacts.rs
+++ b/src/node/pacts.rs
@@ -126,7 +126,10 @@
         && let Some(name) = text(b, "name")
         && let Ok(key) = Key::new(record::Kind::Batch, &name)
     {
-        out.push((key.head(), b.clone()));
+        // Who looks for runs of a batch must know their classes.
+        let mut b = b.clone();
+        b["breed"] = says.get("breed").cloned().unwrap_or_default();
+        out.push((key.head(), b));
     }
     out
 }
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -158,6 +158,7 @@
             Purpose::PeekEnd(id, from) => self.peeked(now, id, from, a, true, out),
             Purpose::NoteForms(form) => self.forms_noted(form, matches!(a, StoreAnswer::Committed(_))),
             Purpose::Pact(p) => self.pact_answer(now, p, a, out),
+            Purpose::Fresh(p) => self.fresh_answer(now, p, a, out),
             Purpose::Revision | Purpose::Watch => self.watched(now, a),
             Purpose::ReadEnd(id) => self.prerequisite_read(now, &id, a),
             Purpose::Check(id, p) => self.checked(now, id, p, a, false, out),
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -59,7 +59,7 @@
     }
 
     /// A job's owner answers only while nobody else can be giving answers as its owner.
-    fn answers_for(&self, now: Micros, job: &str) -> bool {
+    pub(super) fn answers_for(&self, now: Micros, job: &str) -> bool {
         self.membership.may_act(now)
             && self.membership.job_owner(job) == Some(self.settings.me)
             && self.owner.loaded
@@ -268,8 +268,10 @@
             Ok(unknown) => unknown,
             Err(reply) => return Some(reply),
         };
-        self.accepting
-            .insert(id.clone(), Accepting { origins: vec![from], spec, raw, wall, unknown, began: now });
+        self.accepting.insert(
+            id.clone(),
+            Accepting { origins: vec![from], spec, raw, wall, unknown, began: now, since: now, with: None },
+        );
         self.put_on_record(now, id, out);
         None
     }
@@ -289,6 +291,7 @@
         match a {
             StoreAnswer::Committed(mark) => {
                 tracing::info!(job = %id, class = %acc.spec.class, team = %acc.spec.team, tasks = acc.spec.tasks, epoch, "job accepted");
+                self.raised(&id, acc.with, mark);
                 if self.membership.job_owner(&id) != Some(self.settings.me) {
                     // Its owner reads the record when it is asked about the job, or in the next epoch.
                     self.standing_in.insert(id.clone(), now);
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,6 +1,7 @@
 //! Operators' own settings, beyond the platform's file: an INI file named by `--operators`. Without it everything is
 //! as if it were empty.
 
+use hazelsaddle_freshness::settings::Settings as Freshness;
 use hazelsaddle_logs::config::{ConfigError, ini_of, text_of};
 use std::net::SocketAddrV4;
 
@@ -12,6 +13,8 @@
 pub struct Operators {
     /// Reader addresses of log stores; told to whoever asks about a job.
     pub log_stores: Vec<SocketAddrV4>,
+    /// Which classes the stale-input guard is about; None: it is off.
+    pub freshness: Option<Freshness>,
 }
 
 impl Operators {
@@ -46,10 +49,17 @@
                             return Err(bad(format!("names {STORES} stores at the most")));
                         }
                     }
+                    ("freshness", key) => {
+                        let f = found.freshness.get_or_insert_default();
+                        f.set(key, value).map_err(|why| bad(why.to_string()))?;
+                    }
                     _ => return Err(bad("is no setting".into())),
                 }
             }
         }
+        if let Some(Err((key, why))) = found.freshness.as_ref().map(Freshness::check) {
+            return Err(ConfigError::key(file, "freshness", key, why.to_string()));
+        }
         Ok(found)
     }
 }
@@ -68,6 +78,9 @@
             ("[logs]\nstores = here:1\n", "f.ini: [logs] stores"),
             ("[logs]\nstore = 10.0.0.1:1\n", "f.ini: [logs] store:"),
             ("[log]\nstores = 10.0.0.1:1\n", "f.ini: [log] stores:"),
+            ("[freshness]\nsource = bet-bolu\n", "f.ini: [freshness] source"),
+            ("[freshness]\nsources = bet bolu\n", "f.ini: [freshness] sources"),
+            ("[freshness]\nsources = a\nrequired = b\n", "f.ini: [freshness] required"),
         ] {
             let e = Operators::parse("f.ini", text).expect_err(text).to_string();
             assert!(e.starts_with(named) && !e.contains('\n'), "{e}");
