--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -1,5 +1,6 @@
 //! The days that are played, by subject.
 
+mod batches;
 mod chains;
 mod plain;
 mod takeovers;
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1,6 +1,7 @@
 //! A simulated world (store, cloud, workers, users, a network that loses, delays and holds back)
 //! that drives the controllers' own code with seeded troubles and checks the rules after each step.
 
+use hazelsaddle::api::ops::OpRequest;
 use hazelsaddle::fleet::{CloudAnswer, CloudRequest, Listed};
 use hazelsaddle::machines::{Report, ReportedTask};
 use hazelsaddle::node::{Effect, Event, Node};
@@ -14,6 +15,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 
+mod batches;
 mod days;
 mod net;
 mod outside;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -74,6 +74,7 @@
                     self.tickets.insert(t, ticket);
                     self.later(1000, What::UserAnswer(t, reply));
                 }
+                Some(Ticket::Writer(q)) => self.writer_told(&q, &reply),
                 Some(Ticket::Asked) => {
                     self.answers.insert(t, reply);
                 }
--- a/tests/world/outside.rs
+++ b/tests/world/outside.rs
@@ -85,7 +85,9 @@
             !matches!(r, StoreRequest::Watch(..)),
             "watches are answered when there is something to tell"
         );
-        self.store.apply(self.now, r)
+        let a = self.store.apply(self.now, r);
+        self.watch_batches();
+        a
     }
 
     pub(crate) fn cloud(&mut self, r: &CloudRequest) -> CloudAnswer {
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -82,6 +82,8 @@
 pub(crate) enum Ticket {
     Worker(usize, u64),
     User(String, char),
+    /// A merge asks whether it may write.
+    Writer(batches::Question),
     /// A test asks.
     Asked,
 }
@@ -136,6 +138,9 @@
     pub(crate) unruly: f64,
     /// A class whose starts the workers refuse, to show that the bar of half a class can fail.
     pub(crate) starved: Option<&'static str>,
+    /// What operators have set beyond the platform's file.
+    pub(crate) operators: hazelsaddle::operators::Operators,
+    pub(crate) batches: batches::Batches,
     pub(crate) log: Vec<String>,
 }
 
@@ -176,6 +181,8 @@
             parcels: 0,
             unruly: 0.0,
             starved: None,
+            operators: hazelsaddle::operators::Operators::default(),
+            batches: batches::Batches::default(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -70,7 +70,9 @@
                     self.boots[n] = self.serial;
                     self.started[n] = self.now;
                     self.hung[n] = 0;
-                    self.nodes[n] = Some(Node::new(settings(n, self.shape, self.limited[n]), self.serial));
+                    let mut settings = settings(n, self.shape, self.limited[n]);
+            settings.operators = self.operators.clone();
+            self.nodes[n] = Some(Node::new(settings, self.serial));
                 }
                 self.drive_if_awake(n);
             }
@@ -83,6 +85,7 @@
                 self.trouble();
             }
             self.run_users();
+            self.run_writers();
             let until = self.now + 100_000;
             while let Some((&(t, s), _)) = self.queue.first_key_value() {
                 if t > until {
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -81,6 +81,7 @@
                 });
                 if why.is_none() {
                     self.starts += 1;
+                    self.merge_starts(job);
                     for p in &self.jobs[job].spec.follows {
                         let p = &self.jobs[p];
                         let all = p.done.len() == p.spec.tasks as usize;
