--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,7 @@
 use self::handover::Handover;
 pub use self::handover::LEAVING;
 use self::pacts::{PactPurpose, Pacts};
+use self::release::Releases;
 use self::witness::Witness;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
@@ -219,6 +220,7 @@
     follow: Follow,
     pacts: Pacts,
     fresh: Freshness,
+    releases: Releases,
     handover: Handover,
     witness: Witness,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
@@ -280,6 +282,7 @@
             follow: Follow::default(),
             pacts: Pacts::default(),
             fresh: Freshness::default(),
+            releases: Releases::default(),
             handover: Handover::new(n),
             witness: Witness::new(n),
             lookups: BTreeMap::new(),
@@ -529,11 +532,7 @@
         kept.insert("follows".into(), json!(spec.follows));
     }
     if let Some(r) = &spec.release {
-        let mut release = json!({"title": r.title, "stage": r.stage});
-        if let Some(night) = &r.night {
-            release["night"] = night.as_str().into();
-        }
-        kept.insert("release".into(), release);
+        kept.insert("release".into(), r.value());
     }
     for (key, batch) in [("batch", &spec.batch), ("merges", &spec.merges)] {
         if let Some(b) = batch {
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -356,38 +356,29 @@
         Some((m.key()?, Merge { of, follows: j.followed() }))
     }
 
-    /// What batches need in each round.
-    pub(super) fn batch_loop(&mut self, now: Micros, out: &mut Vec<Effect>) {
-        if now >= self.fresh.next {
-            self.fresh.next = now + PAUSE;
-            self.look_at_merges(now);
-            self.release_permits(now, out);
-        }
+    /// What batches need in each round, which begins with nothing asked for: a census for each stale merge.
+    pub(super) fn batch_loop(&mut self, _now: Micros, _out: &mut Vec<Effect>) {
         let operating = &self.pacts.operating;
         self.fresh.lists.retain(|ticket, _| operating.iter().any(|o| o.ticket == *ticket));
-        // A census is asked for in each round, until it is there.
-        let shown: Vec<(Key, Micros)> = operating
-            .iter()
-            .filter_map(|o| match &o.request {
-                OpRequest::Batch(name) => Some((Key::new(Sort::Batch, name).ok()?, o.began)),
-                _ => None,
-            })
-            .collect();
-        for (key, began) in shown {
-            self.census_since(&key, began);
-        }
-        let stale: BTreeSet<Key> = self
-            .fresh
-            .merges
-            .iter()
-            .filter(|(_, s)| s.stale)
-            .filter_map(|(id, _)| self.merge_of(id).map(|(key, _)| key))
-            .collect();
-        for key in stale {
-            if let Some(since) = self.fresh.watched {
+        let stale = self.fresh.merges.iter().filter(|(_, s)| s.stale);
+        let stale: BTreeSet<Key> = stale.filter_map(|(id, _)| self.merge_of(id).map(|m| m.0)).collect();
+        if let Some(since) = self.fresh.watched {
+            for key in stale {
                 self.census_since(&key, since);
             }
         }
+    }
+
+    /// What can't wait for the next round: writers' questions, and news.
+    pub(super) fn batch_now(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if !self.batches_on() {
+            return;
+        }
+        if now >= self.fresh.next {
+            self.fresh.next = now + PAUSE;
+            self.look_at_merges(now);
+            self.release_permits(now, out);
+        }
         self.answer_writers(now, out);
         self.read_says(now, out);
     }
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -3,5 +3,6 @@
 mod batches;
 mod chains;
 mod plain;
+mod releases;
 mod takeovers;
 mod upgrade;
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1,10 +1,10 @@
 //! A simulated world (store, cloud, workers, users, a network that loses, delays and holds back)
 //! that drives the controllers' own code with seeded troubles and checks the rules after each step.
 
-use hazelsaddle::api::ops::OpRequest;
 use hazelsaddle::fleet::{CloudAnswer, CloudRequest, Listed};
 use hazelsaddle::machines::{Report, ReportedTask};
 use hazelsaddle::node::{Effect, Event, Node};
+use hazelsaddle::operators::Operators;
 use hazelsaddle::peer::{Message, Reply, UserRequest};
 use hazelsaddle::settings::Settings;
 use hazelsaddle::spec::{MachineType, Spec};
