--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -57,8 +57,10 @@
 struct Seen {
     /// When it was first looked at in this epoch: what was read before counts for nothing.
     since: Micros,
-    /// It was found stale; runs that supersede the old ones are looked for.
+    /// It is stale.
     stale: bool,
+    /// It was found stale once: runs that supersede the old ones are looked for, and remembered as long as it lives.
+    sought: bool,
 }
 
 /// What has happened since the process started. For operators.
@@ -82,8 +84,9 @@
     reading: BTreeSet<String>,
     unreadable: BTreeMap<String, Micros>,
     asking: Vec<Asking>,
-    /// Done runs that the watch told of, by head; only of batches that a stale merge of ours is of.
-    runs: BTreeMap<String, BTreeSet<Run>>,
+    /// Done runs that the watch told of, by head, and since when it is listened to; only of batches that a stale merge of
+    /// ours is of.
+    runs: BTreeMap<String, (Micros, BTreeSet<Run>)>,
     /// The watch tells of all ends since then.
     watched: Option<Micros>,
     released: BTreeMap<Key, Micros>,
@@ -284,7 +287,7 @@
 
     /// Whether ends must be watched, since one of them may let a stale merge go on.
     pub(super) fn batches_watch(&self) -> bool {
-        self.fresh.merges.values().any(|s| s.stale)
+        self.fresh.merges.values().any(|s| s.sought)
     }
 
     /// The watch begins only now: what ended before must be found by a census.
@@ -305,27 +308,42 @@
         if let Some(runs) = key.and_then(|k| self.fresh.runs.get_mut(&k.head()))
             && let Some(run) = run_of(id, &b)
         {
-            runs.insert(run);
+            runs.1.insert(run);
             self.fresh.next = Micros(0);
         }
     }
 
     /// Done runs under a batch, as far as they are known: a census once a merge was found stale, and then the watch.
-    fn runs_of(&mut self, key: &Key, stale: bool) -> BTreeSet<Run> {
-        let head = key.head();
-        if !stale && !self.fresh.runs.contains_key(&head) {
-            return BTreeSet::new();
-        }
-        let mut runs = self.fresh.runs.entry(head).or_default().clone();
-        if let Some(since) = self.fresh.watched
-            && let Some(members) = self.census_since(key, since)
-        {
+    fn runs_of(&mut self, key: &Key) -> BTreeSet<Run> {
+        let mut runs = self.fresh.runs.get(&key.head()).map(|r| r.1.clone()).unwrap_or_default();
+        if let Some(members) = self.members_so_far(key) {
             let done = members.iter().filter(|(_, m)| m.stands == Stands::Done);
             runs.extend(done.filter_map(|(id, m)| run_of(id, &m.says)));
         }
         runs
     }
 
+    /// Since when a census must have begun so that with what the watch has told since, all done runs are known.
+    fn runs_since(&self, key: &Key) -> Option<Micros> {
+        let (since, _) = self.fresh.runs.get(&key.head())?;
+        let watched = self.fresh.watched.filter(|_| matches!(self.follow.watch, follow::Watch::At(..)))?;
+        Some(watched.max(*since))
+    }
+
+    /// Whether all done runs under a batch are known here. Guards against refusing or stopping a merge that new runs have
+    /// made fresh: who has just become its owner knows only what it names itself.
+    fn runs_known(&self, key: &Key) -> bool {
+        let began = self.census_began(key);
+        self.runs_since(key).is_some_and(|since| began.is_some_and(|b| b >= since))
+    }
+
+    /// A merge was found stale: runs that supersede the old ones are looked for.
+    fn mark_stale(&mut self, now: Micros, id: &str, key: &Key) {
+        let new = Seen { since: now, stale: true, sought: true };
+        self.fresh.merges.entry(id.to_owned()).or_insert(new).sought = true;
+        self.fresh.runs.entry(key.head()).or_insert((now, BTreeSet::new()));
+    }
+
     // ---- The guard ----
 
     /// A new epoch: each merge is looked at anew.
@@ -336,8 +354,8 @@
         self.fresh.next = Micros(0);
     }
 
-    fn verdict(&mut self, held: &Held, merge: &Merge, key: &Key, stale: bool) -> Verdict {
-        let runs = self.runs_of(key, stale);
+    fn verdict(&mut self, held: &Held, merge: &Merge, key: &Key) -> Verdict {
+        let runs = self.runs_of(key);
         let Some(classes) = self.classes() else {
             return Verdict::Unknown(guard::Why::Record("the guard is not switched on here".into()));
         };
@@ -360,10 +378,10 @@
     pub(super) fn batch_loop(&mut self, _now: Micros, _out: &mut Vec<Effect>) {
         let operating = &self.pacts.operating;
         self.fresh.lists.retain(|ticket, _| operating.iter().any(|o| o.ticket == *ticket));
-        let stale = self.fresh.merges.iter().filter(|(_, s)| s.stale);
-        let stale: BTreeSet<Key> = stale.filter_map(|(id, _)| self.merge_of(id).map(|m| m.0)).collect();
-        if let Some(since) = self.fresh.watched {
-            for key in stale {
+        let sought = self.fresh.merges.iter().filter(|(_, s)| s.sought);
+        let sought: BTreeSet<Key> = sought.filter_map(|(id, _)| self.merge_of(id).map(|m| m.0)).collect();
+        for key in sought {
+            if let Some(since) = self.runs_since(&key) {
                 self.census_since(&key, since);
             }
         }
@@ -395,9 +413,10 @@
         let mut heads = BTreeSet::new();
         for id in ids {
             let Some((key, merge)) = self.merge_of(&id) else { continue };
-            let mut seen = self.fresh.merges.get(&id).cloned().unwrap_or(Seen { since: now, stale: false });
+            let mut seen =
+                self.fresh.merges.get(&id).cloned().unwrap_or(Seen { since: now, ..Seen::default() });
             let held = self.pact(now, &key);
-            let verdict = self.verdict(&held, &merge, &key, seen.stale);
+            let verdict = self.verdict(&held, &merge, &key);
             let since = seen.since.max(Micros(now.0.saturating_sub(RECENT.0)));
             let recent = self.pacts.shelf.get_since(&key, since).is_some();
             if !recent {
@@ -409,18 +428,21 @@
                 // Nothing new: what was looked for still is.
                 Verdict::Unknown(_) => {}
             }
-            if seen.stale {
+            seen.sought |= seen.stale;
+            let sought = seen.sought;
+            self.fresh.merges.insert(id.clone(), seen);
+            if sought {
                 heads.insert(key.head());
-                self.fresh.runs.entry(key.head()).or_default();
+                self.mark_stale(now, &id, &key);
             }
-            self.fresh.merges.insert(id.clone(), seen);
-            self.guard_merge(&id, &held, &verdict, recent);
+            let known = self.runs_known(&key);
+            self.guard_merge(&id, &held, &verdict, recent, known);
         }
         self.fresh.runs.retain(|head, _| heads.contains(head));
     }
 
     /// Lifts a merge's hold, or holds it; what runs of one whose inputs are old is stopped.
-    fn guard_merge(&mut self, id: &str, held: &Held, verdict: &Verdict, recent: bool) {
+    fn guard_merge(&mut self, id: &str, held: &Held, verdict: &Verdict, recent: bool, known: bool) {
         let Some(j) = self.owner.jobs.get(id) else { return };
         if verdict.may_start() && recent {
             if matches!(j.hold(), Some(Hold::Batch(_))) {
@@ -436,7 +458,7 @@
             tracing::info!(job = id, reason = %why, "merge is held");
             self.owner.hold(id, Hold::Batch(why));
         }
-        if matches!(verdict, Verdict::Stale(..)) {
+        if known && matches!(verdict, Verdict::Stale(..)) {
             let writes = |task: Option<u32>, attempt: u64| {
                 !verdict.must_stop(held, &Writer { job: id.to_owned(), attempt, task })
             };
--- a/src/node/freshness/permits.rs
+++ b/src/node/freshness/permits.rs
@@ -77,8 +77,7 @@
         }
         let (key, merge) = self.merge_of(&a.job)?;
         let held = self.pact_since(now, &key, a.came)?;
-        let stale = self.fresh.merges.get(&a.job).is_some_and(|s| s.stale);
-        let verdict = self.verdict(&held, &merge, &key, stale);
+        let verdict = self.verdict(&held, &merge, &key);
         let writer = Writer { job: a.job.clone(), attempt: a.attempt, task };
         // What has ended makes room for what begins.
         let known = match &held {
@@ -101,6 +100,10 @@
                 }
                 None
             }
+            Answer::Stale(..) if !self.runs_known(&key) => {
+                self.mark_stale(now, &a.job, &key);
+                None
+            }
             Answer::Stale(version, look) => {
                 tracing::info!(job = %a.job, attempt = a.attempt, reason = %verdict.reason(), "permit refused");
                 let mut body = told(&look);
--- a/tests/world/days/batches.rs
+++ b/tests/world/days/batches.rs
@@ -150,3 +150,124 @@
     assert!(starts > 200 && permits > 150 && refused > 0, "{starts} {permits} {refused}");
     assert!(late * 20 < starts, "{late} of {starts} starts on what had just become old");
 }
+
+/// A batch is put, put twice, put lower, shown; what is submitted is told why; a repeat with another version changes nothing.
+#[test]
+fn a_batch_is_put_and_shown_and_a_repeat_changes_nothing() {
+    let mut w = world(950, Shape { jobs: 0, ..SMALL });
+    play_until(&mut w, 30 * S);
+    let put = |w: &mut World, n: usize, name: &str, version: u64| {
+        w.ask_operator(n, OpRequest::PutBatch(name.into(), version))
+    };
+    assert_eq!(put(&mut w, 0, "b", 7).status, 200);
+    assert_eq!(put(&mut w, 1, "b", 7).status, 200, "twice");
+    let lower = put(&mut w, 2, "b", 6);
+    assert!(lower.status == 409 && lower.body.contains('7'), "{}", lower.body);
+    assert_eq!(put(&mut w, 0, "b d", 7).status, 400);
+    let unknown = w.ask_operator(1, OpRequest::Batch("bb".into()));
+    assert!(unknown.status == 404 && unknown.body.contains("the nearest is b"), "{}", unknown.body);
+    let submit = |w: &mut World, n: usize, id: &str, class: &str, key: &str, version: u64| {
+        let mut b = body(id, class, "batch", 1, &[]);
+        b[key] = of("b", version);
+        if !w.jobs.contains_key(id) {
+            w.add_given(&b, 5 * S).next = NEVER;
+        }
+        w.ask(n, UserRequest::Submit(id.into(), b.to_string()))
+    };
+    let wrong = submit(&mut w, 0, "wk-800001", "check", "merges", 7);
+    assert!(wrong.status == 422 && wrong.body.contains("merge"), "{}", wrong.body);
+    assert_eq!(submit(&mut w, 0, "wk-800002", "split", "batch", 7).status, 201);
+    assert_eq!(submit(&mut w, 1, "wk-800003", "split", "batch", 3).status, 201, "it is simply old");
+    for n in 0..3 {
+        assert_eq!(submit(&mut w, n, "wk-800002", "split", "batch", 9).status, 200);
+    }
+    let done = w.now + 60 * S;
+    play_until(&mut w, done);
+    for n in 0..3 {
+        assert_eq!(submit(&mut w, n, "wk-800002", "split", "batch", 9).status, 200, "after its end");
+    }
+    assert_eq!(w.version("b"), 7, "the first one stands");
+    assert_eq!(submit(&mut w, 2, "wk-800004", "read", "batch", 8).status, 201);
+    assert_eq!(w.version("b"), 8, "a run that names a newer one raises it");
+    let shown: Vec<String> = (0..3).map(|n| w.ask_operator(n, OpRequest::Batch("b".into())).body).collect();
+    assert!(shown[0].contains("wk-800003") && shown[0] == shown[1] && shown[1] == shown[2], "{shown:?}");
+    w.outage_until = w.now + 20 * S;
+    assert_eq!(put(&mut w, 0, "b", 9).status, 503, "the state service is away");
+}
+
+/// A writer gets its permit; a newer version is recorded at once, marked as after its write, which goes on; the next merge
+/// is held, names the old run, and goes on by itself once a new run is on record.
+#[test]
+fn a_newer_version_waits_for_no_writer_and_the_next_merge_for_a_new_run() {
+    let mut w = world(951, Shape { jobs: 0, ..SMALL });
+    play_until(&mut w, 30 * S);
+    let split = run(&mut w, "split", "b", Some(7), &[]);
+    let merge = |w: &mut World, id: &str| {
+        let mut b = body(id, "merge", "batch", 1, &[&split]);
+        b["merges"] = of("b", 7);
+        w.add_given(&b, 40 * S);
+    };
+    merge(&mut w, "wk-800001");
+    let running = |w: &World, id: &str| {
+        let tasks = w.workers.iter().flat_map(|m| &m.tasks);
+        tasks.filter(|t| t.job == id && t.state == "running").map(|t| t.attempt).next()
+    };
+    let attempt = loop {
+        let next = w.now + S / 2;
+        assert!(next < 120 * S, "it does not start");
+        play_until(&mut w, next);
+        if let Some(a) = running(&w, "wk-800001") {
+            break a;
+        }
+    };
+    let ask =
+        |w: &mut World, n: usize, a: u64| w.ask(n, UserRequest::Permit("wk-800001".into(), format!("{a}/0")));
+    let first = ask(&mut w, 0, attempt);
+    assert!(first.status == 200 && first.body.contains("\"version\":7"), "{}", first.body);
+    assert_eq!(ask(&mut w, 1, attempt + 1).status, 409, "no such attempt");
+    assert_eq!(w.ask_operator(2, OpRequest::PutBatch("b".into(), 8)).status, 200);
+    assert_eq!(ask(&mut w, 1, attempt).body, first.body, "it writes on");
+    let shown = w.ask_operator(0, OpRequest::Batch("b".into()));
+    assert!(shown.body.contains("\"after_fence\":1"), "{}", shown.body);
+    merge(&mut w, "wk-800002");
+    let then = w.now + 15 * S;
+    play_until(&mut w, then);
+    assert_eq!(running(&w, "wk-800001"), Some(attempt), "a write under way is not stopped");
+    assert_eq!(running(&w, "wk-800002"), None);
+    let why = w.ask(1, UserRequest::Why("wk-800002".into()));
+    assert!(why.body.contains(&format!("{split} (split) read version 7 of b")), "{}", why.body);
+    run(&mut w, "split", "b", Some(8), &[]);
+    let then = w.now + 150 * S;
+    play_until(&mut w, then);
+    assert!(w.finished().is_empty(), "{:?}", w.finished());
+    assert_eq!(w.permits_held("b"), 0, "it ends with its attempt");
+}
+
+/// A merge that runs when its batch is replaced is stopped, is pending, and is done after the new run.
+#[test]
+fn a_running_merge_that_has_become_stale_is_stopped_and_held() {
+    for (seed, kind) in [(952, "batch"), (953, "group")] {
+        let mut w = world(seed, Shape { jobs: 0, ..SMALL });
+        play_until(&mut w, 30 * S);
+        let split = run(&mut w, "split", "b", Some(7), &[]);
+        let mut b = body("wk-800001", "merge", kind, 2, &[&split]);
+        b["merges"] = of("b", 7);
+        w.add_given(&b, 60 * S);
+        let on = |w: &World| w.workers.iter().flat_map(|m| &m.tasks).filter(|t| t.on()).count();
+        while on(&w) < 2 {
+            let next = w.now + S / 2;
+            assert!(next < 120 * S, "it does not start");
+            play_until(&mut w, next);
+        }
+        assert_eq!(w.ask_operator(1, OpRequest::PutBatch("b".into(), 8)).status, 200);
+        let then = w.now + 12 * S;
+        play_until(&mut w, then);
+        assert_eq!(on(&w), 0, "{kind}: what is old runs on");
+        let asked = w.ask(0, UserRequest::Query("wk-800001".into()));
+        assert!(asked.body.contains("pending"), "{}", asked.body);
+        run(&mut w, "split", "b", Some(8), &[]);
+        let then = w.now + 200 * S;
+        play_until(&mut w, then);
+        assert!(w.finished().is_empty(), "{kind}: {:?}", w.finished());
+    }
+}
