--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! It is a test bench, not a product: gangs are run like arrays, and nothing here is tuned.
 
+pub mod batches;
 pub mod cloud;
 pub mod experiment;
 pub mod http;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,9 +4,9 @@
 use hazelsaddle::{daemon, operators::Operators, settings::Settings};
 use hazelsaddle_lab::experiment::{self, Plan};
 use hazelsaddle_lab::measure;
-use hazelsaddle_lab::releases;
 use hazelsaddle_lab::town::{Size, Town};
 use hazelsaddle_lab::worker::Script;
+use hazelsaddle_lab::{batches, releases};
 use hazelsaddle_logs::{cli, spool::Policy};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -87,6 +87,22 @@
         #[arg(long)]
         json: bool,
     },
+    /// Batches that are replaced while merges wait, start, run and ask whether they may write, and controllers and machines are
+    /// killed. Exits with 1 if a merge starts or writes on old runs, is refused wrongly or stuck, or anything is lost.
+    Freshness {
+        /// Where all chance comes from.
+        #[arg(long)]
+        seed: u64,
+        /// Machines at the start.
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u32).range(4..=60))]
+        machines: u32,
+        /// Controllers and machines killed.
+        #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u32).range(0..=60))]
+        kills: u32,
+        /// One JSON document and nothing else.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 #[derive(Subcommand)]
@@ -229,6 +245,20 @@
                 Err(e) => failed(e),
             }
         }
+        Action::Experiment(Experiment::Freshness { seed, machines, kills, json }) => {
+            logging(if json { "error" } else { "info" });
+            let program = match std::env::current_exe() {
+                Ok(p) => p,
+                Err(e) => return failed(e.into()),
+            };
+            match batches::freshness(&program, seed, machines as usize, kills as usize) {
+                Ok(out) => {
+                    println!("{}", serde_json::to_string(&out).unwrap_or_default());
+                    if out.holds() { ExitCode::SUCCESS } else { ExitCode::from(1) }
+                }
+                Err(e) => failed(e),
+            }
+        }
         Action::Measure(m) => {
             logging("error");
             printed(match m {
