--- a/tests/world/days/batches.rs
+++ b/tests/world/days/batches.rs
@@ -183,6 +183,10 @@
     }
     let done = w.now + 60 * S;
     play_until(&mut w, done);
+    // Nobody remembers it then: only its record tells that it was accepted.
+    (0..3).for_each(|n| w.crash(n));
+    let back = w.now + 45 * S;
+    play_until(&mut w, back);
     for n in 0..3 {
         assert_eq!(submit(&mut w, n, "wk-800002", "split", "batch", 9).status, 200, "after its end");
     }
