--- a/src/commands.rs
+++ b/src/commands.rs
@@ -5,6 +5,10 @@
 use serde_json::{Value, json};
 use std::time::Duration;
 
+mod batches;
+
+pub use batches::{BatchCommand, batch};
+
 /// An answer takes a few seconds where many records are read; more than a controller's own patience.
 const PATIENCE: Duration = Duration::from_secs(12);
 
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -2,6 +2,7 @@
 
 pub use follow::{Hold, says_of_record};
 pub use room::headroom;
+pub use stale::Attempt;
 
 mod blame;
 mod doubted;
@@ -13,6 +14,7 @@
 mod plan;
 mod records;
 mod room;
+mod stale;
 mod sync;
 mod vouch;
 
@@ -187,6 +189,8 @@
     pub replan: bool,
     blame: Blame,
     waiting: Waiting,
+    /// Every end says its job's class: what is upstream of a merge must be known by it.
+    keep_class: bool,
     demands: Vec<Demand>,
     doubted: doubted::Doubted,
     gang_wait: Micros,
@@ -249,6 +253,7 @@
             replan: true,
             blame: Blame::default(),
             waiting: Waiting::default(),
+            keep_class: s.operators.freshness.is_some(),
             demands: Vec::new(),
             doubted: doubted::Doubted::default(),
             gang_wait: s.gang_wait,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use clap::{Parser, Subcommand};
-use hazelsaddle::commands::{self, Asked, ReleaseCommand};
+use hazelsaddle::commands::{self, Asked, BatchCommand, ReleaseCommand};
 use hazelsaddle::{daemon, operators::Operators, settings::Settings};
 use hazelsaddle_logs::cli as logs_cli;
 use std::process::ExitCode;
@@ -40,6 +40,9 @@
     /// Show and change releases: what a rotation waits for.
     #[command(subcommand)]
     Release(ReleaseCommand),
+    /// Show and change batches: what merges may start and write on.
+    #[command(subcommand)]
+    Batch(BatchCommand),
     /// Say why a job waits.
     Why {
         /// The job.
@@ -103,6 +106,7 @@
     };
     match Cli::parse().command {
         Action::Release(command) => said(commands::release(&command)),
+        Action::Batch(command) => said(commands::batch(&command)),
         Action::Why { job, asked } => said(commands::why(&asked, &job)),
         Action::Store(args) => {
             logs();
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,6 +1,7 @@
 //! Operators' own settings, beyond the platform's file: an INI file named by `--operators`. Without it everything is
 //! as if it were empty.
 
+use hazelsaddle_freshness::settings::Settings as Freshness;
 use hazelsaddle_logs::config::{ConfigError, ini_of, text_of};
 use hazelsaddle_release::calendar::{Calendar, Calendars};
 use std::net::SocketAddrV4;
@@ -13,6 +14,8 @@
 pub struct Operators {
     /// Reader addresses of log stores; told to whoever asks about a job.
     pub log_stores: Vec<SocketAddrV4>,
+    /// Which classes the stale-input guard is about; None: it is off.
+    pub freshness: Option<Freshness>,
     /// Release calendars; without one nothing of releases is switched on.
     pub calendars: Calendars,
 }
@@ -63,10 +66,17 @@
                             return Err(bad(format!("names {STORES} stores at the most")));
                         }
                     }
+                    ("freshness", key) => {
+                        let f = found.freshness.get_or_insert_default();
+                        f.set(key, value).map_err(|why| bad(why.to_string()))?;
+                    }
                     _ => return Err(bad("is no setting".into())),
                 }
             }
         }
+        if let Some(Err((key, why))) = found.freshness.as_ref().map(Freshness::check) {
+            return Err(ConfigError::key(file, "freshness", key, why.to_string()));
+        }
         Ok(found)
     }
 }
@@ -87,6 +97,9 @@
             ("[calendar n]\ntitel = x\n", "f.ini: [calendar n] titel:"),
             ("[calendar n]\ntitle = x\n", "f.ini: [calendar n] zone:"),
             ("[log]\nstores = 10.0.0.1:1\n", "f.ini: [log] stores:"),
+            ("[freshness]\nsource = bet-bolu\n", "f.ini: [freshness] source"),
+            ("[freshness]\nsources = bet bolu\n", "f.ini: [freshness] sources"),
+            ("[freshness]\nsources = a\nrequired = b\n", "f.ini: [freshness] required"),
         ] {
             let e = Operators::parse("f.ini", text).expect_err(text).to_string();
             assert!(e.starts_with(named) && !e.contains('\n'), "{e}");
--- /dev/null
+++ b/tests/world/days/batches.rs
@@ -0,0 +1,277 @@
+//! Merges that start and write only on runs of their batch's version.
+
+use crate::batches::INI;
+use crate::*;
+use hazelsaddle::api::ops::OpRequest;
+
+fn world(seed: u64, shape: Shape) -> World {
+    let mut w = World::new(seed, shape);
+    w.operators = Some(Operators::parse("test", INI).expect("valid"));
+    w
+}
+
+fn body(id: &str, class: &str, kind: &str, tasks: u32, follows: &[&str]) -> Value {
+    json!({"uid": id, "breed": class, "herd": "t1", "gait": kind, "rank": "normal", "strides": tasks, "vcpus": 1.0,
+        "cards": 0, "ramGb": 1.0, "tack": "img", "imageGb": 1.0, "together": false, "scatter": false,
+        "borrowed": false, "rideS": 5.0, "restS": 0.0, "unsaddleS": 0.0, "follows": follows})
+}
+
+fn of(name: &str, version: u64) -> Value {
+    json!({"name": name, "version": version})
+}
+
+/// A run of a batch, with a new id.
+fn run(w: &mut World, class: &str, name: &str, version: Option<u64>, follows: &[&str]) -> String {
+    let id = format!("wk-7{:05}", w.jobs.len());
+    let mut b = body(&id, class, "batch", 1, follows);
+    if let Some(v) = version {
+        b["batch"] = of(name, v);
+    }
+    let long = w.rng.random_range(3 * S..9 * S);
+    w.add_given(&b, long);
+    id
+}
+
+/// Splitting, reading, a check that carries no batch, and the merge of all.
+fn pipeline(w: &mut World, name: &str, version: u64) -> String {
+    let splits = w.rng.random_range(1..3);
+    let mut read = Vec::new();
+    for _ in 0..splits {
+        // Some runs say an older version, or none.
+        let said = match w.rng.random_range(0..8) {
+            0 => None,
+            1 => Some(version.saturating_sub(1)),
+            _ => Some(version),
+        };
+        let split = run(w, "split", name, said, &[]);
+        read.push(run(w, "read", name, Some(version), &[&split]));
+    }
+    let read: Vec<&str> = read.iter().map(String::as_str).collect();
+    let check = format!("wk-7{:05}", w.jobs.len());
+    let b = body(&check, "check", "batch", 2, &read);
+    w.add_given(&b, 4 * S);
+    let merge = format!("wk-7{:05}", w.jobs.len());
+    let kind = ["batch", "group"][w.rng.random_range(0..2usize)];
+    let tasks = w.rng.random_range(1..4);
+    let mut b = body(&merge, "merge", kind, tasks, &[&check]);
+    b["merges"] = of(name, version);
+    let long = w.rng.random_range(8 * S..25 * S);
+    w.add_given(&b, long);
+    merge
+}
+
+/// New runs of a version, as many as any merge has old ones.
+fn runs_again(w: &mut World, name: &str, version: u64) {
+    for _ in 0..2 {
+        let split = run(w, "split", name, Some(version), &[]);
+        run(w, "read", name, Some(version), &[&split]);
+    }
+}
+
+/// Batches are put and replaced at any moment, by operators and by runs, while merges wait, start, run and write, under all
+/// troubles; processes that end are back at once.
+fn replaced(seed: u64, quick: bool) -> World {
+    let mut w = world(seed, Shape { jobs: 12, machines: 6, room: 8, ..SMALL });
+    w.batches.writers = true;
+    let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        w.run(200 * S, 15 * S);
+        let names = ["b0", "b1", "b2"];
+        let mut again: Vec<(u64, &str, u64)> = Vec::new();
+        while w.now < 200 * S {
+            let name = names[w.rng.random_range(0..3usize)];
+            let version = w.version(name).max(1);
+            match w.rng.random_range(0..5) {
+                0..2 => {
+                    pipeline(&mut w, name, version);
+                    if w.rng.random_bool(0.3) {
+                        pipeline(&mut w, name, version);
+                    }
+                }
+                2..4 => {
+                    let (n, up) = (w.rng.random_range(0..3usize), w.rng.random_range(0..3));
+                    w.operator_asks(n, OpRequest::PutBatch(name.into(), version + up));
+                    let at = w.now + w.rng.random_range(5 * S..40 * S);
+                    again.push((at, name, version + up));
+                }
+                _ => {
+                    let at = w.now + w.rng.random_range(0..20 * S);
+                    again.push((at, name, version + 1));
+                }
+            }
+            let now = w.now;
+            for (_, name, version) in again.extract_if(.., |a| a.0 <= now).collect::<Vec<_>>() {
+                runs_again(&mut w, name, version);
+            }
+            let until = w.now + w.rng.random_range(2 * S..9 * S);
+            w.run(200 * S, until);
+            if quick && w.rng.random_bool(0.5) {
+                let n = w.rng.random_range(0..3usize);
+                w.crash(n);
+                w.back_at[n] = w.now + w.rng.random_range(S / 10..S / 2);
+            }
+        }
+        w.run(0, 300 * S);
+        // Whatever a merge rests on, there are new runs now.
+        for name in names {
+            let version = w.version(name).max(1);
+            runs_again(&mut w, name, version);
+        }
+        w.run(0, 700 * S);
+    }));
+    if let Err(e) = r {
+        eprintln!("seed {seed}, at {:.3} s: {:#?}", w.now as f64 / 1e6, w.log);
+        std::panic::resume_unwind(e);
+    }
+    w
+}
+
+#[test]
+fn no_merge_starts_or_writes_on_old_runs_whatever_fails() {
+    let (mut starts, mut late, mut permits, mut refused) = (0, 0, 0, 0);
+    for seed in seeds().map(|s| s + 9000).step_by(2) {
+        let quick = seed % 4 == 0;
+        let mut w = replaced(seed, quick);
+        let states = w.states();
+        assert!(w.finished().is_empty(), "seed {seed}: {:?} {:#?} {states:#?}", w.finished(), w.log);
+        for name in ["b0", "b1", "b2"] {
+            assert_eq!(w.permits_held(name), 0, "seed {seed}: {name} {states:#?}");
+        }
+        let b = &w.batches;
+        eprintln!(
+            "seed {seed}: {} starts, {} late, {} permits, {} refused",
+            b.starts, b.late, b.permits, b.refused
+        );
+        starts += b.starts;
+        late += b.late;
+        permits += b.permits;
+        refused += b.refused;
+    }
+    eprintln!("{starts} starts, {late} late, {permits} permits, {refused} refused");
+    assert!(starts > 200 && permits > 150 && refused > 0, "{starts} {permits} {refused}");
+    assert!(late * 20 < starts, "{late} of {starts} starts on what had just become old");
+}
+
+/// A batch is put, put twice, put lower, shown; what is submitted is told why; a repeat with another version changes nothing.
+#[test]
+fn a_batch_is_put_and_shown_and_a_repeat_changes_nothing() {
+    let mut w = world(950, Shape { jobs: 0, ..SMALL });
+    play_until(&mut w, 30 * S);
+    let put = |w: &mut World, n: usize, name: &str, version: u64| {
+        w.ask_operator(n, OpRequest::PutBatch(name.into(), version))
+    };
+    assert_eq!(put(&mut w, 0, "b", 7).status, 200);
+    assert_eq!(put(&mut w, 1, "b", 7).status, 200, "twice");
+    let lower = put(&mut w, 2, "b", 6);
+    assert!(lower.status == 409 && lower.body.contains('7'), "{}", lower.body);
+    assert_eq!(put(&mut w, 0, "b d", 7).status, 400);
+    let unknown = w.ask_operator(1, OpRequest::Batch("bb".into()));
+    assert!(unknown.status == 404 && unknown.body.contains("the nearest is b"), "{}", unknown.body);
+    let submit = |w: &mut World, n: usize, id: &str, class: &str, key: &str, version: u64| {
+        let mut b = body(id, class, "batch", 1, &[]);
+        b[key] = of("b", version);
+        if !w.jobs.contains_key(id) {
+            w.add_given(&b, 5 * S).next = NEVER;
+        }
+        w.ask(n, UserRequest::Submit(id.into(), b.to_string()))
+    };
+    let wrong = submit(&mut w, 0, "wk-800001", "check", "merges", 7);
+    assert!(wrong.status == 422 && wrong.body.contains("merge"), "{}", wrong.body);
+    assert_eq!(submit(&mut w, 0, "wk-800002", "split", "batch", 7).status, 201);
+    assert_eq!(submit(&mut w, 1, "wk-800003", "split", "batch", 3).status, 201, "it is simply old");
+    for n in 0..3 {
+        assert_eq!(submit(&mut w, n, "wk-800002", "split", "batch", 9).status, 200);
+    }
+    let done = w.now + 60 * S;
+    play_until(&mut w, done);
+    // Nobody remembers it then: only its record tells that it was accepted.
+    (0..3).for_each(|n| w.crash(n));
+    let back = w.now + 45 * S;
+    play_until(&mut w, back);
+    for n in 0..3 {
+        assert_eq!(submit(&mut w, n, "wk-800002", "split", "batch", 9).status, 200, "after its end");
+    }
+    assert_eq!(w.version("b"), 7, "the first one stands");
+    assert_eq!(submit(&mut w, 2, "wk-800004", "read", "batch", 8).status, 201);
+    assert_eq!(w.version("b"), 8, "a run that names a newer one raises it");
+    let shown: Vec<String> = (0..3).map(|n| w.ask_operator(n, OpRequest::Batch("b".into())).body).collect();
+    assert!(shown[0].contains("wk-800003") && shown[0] == shown[1] && shown[1] == shown[2], "{shown:?}");
+    w.outage_until = w.now + 20 * S;
+    assert_eq!(put(&mut w, 0, "b", 9).status, 503, "the state service is away");
+}
+
+/// A writer gets its permit; a newer version is recorded at once, marked as after its write, which goes on; the next merge
+/// is held, names the old run, and goes on by itself once a new run is on record.
+#[test]
+fn a_newer_version_waits_for_no_writer_and_the_next_merge_for_a_new_run() {
+    let mut w = world(951, Shape { jobs: 0, ..SMALL });
+    play_until(&mut w, 30 * S);
+    let split = run(&mut w, "split", "b", Some(7), &[]);
+    let merge = |w: &mut World, id: &str| {
+        let mut b = body(id, "merge", "batch", 1, &[&split]);
+        b["merges"] = of("b", 7);
+        w.add_given(&b, 40 * S);
+    };
+    merge(&mut w, "wk-800001");
+    let running = |w: &World, id: &str| {
+        let tasks = w.workers.iter().flat_map(|m| &m.tasks);
+        tasks.filter(|t| t.job == id && t.state == "running").map(|t| t.attempt).next()
+    };
+    let attempt = loop {
+        let next = w.now + S / 2;
+        assert!(next < 120 * S, "it does not start");
+        play_until(&mut w, next);
+        if let Some(a) = running(&w, "wk-800001") {
+            break a;
+        }
+    };
+    let ask =
+        |w: &mut World, n: usize, a: u64| w.ask(n, UserRequest::Permit("wk-800001".into(), format!("{a}/0")));
+    let first = ask(&mut w, 0, attempt);
+    assert!(first.status == 200 && first.body.contains("\"version\":7"), "{}", first.body);
+    assert_eq!(ask(&mut w, 1, attempt + 1).status, 409, "no such attempt");
+    assert_eq!(w.ask_operator(2, OpRequest::PutBatch("b".into(), 8)).status, 200);
+    assert_eq!(ask(&mut w, 1, attempt).body, first.body, "it writes on");
+    let shown = w.ask_operator(0, OpRequest::Batch("b".into()));
+    assert!(shown.body.contains("\"after_fence\":1"), "{}", shown.body);
+    merge(&mut w, "wk-800002");
+    let then = w.now + 15 * S;
+    play_until(&mut w, then);
+    assert_eq!(running(&w, "wk-800001"), Some(attempt), "a write under way is not stopped");
+    assert_eq!(running(&w, "wk-800002"), None);
+    let why = w.ask(1, UserRequest::Why("wk-800002".into()));
+    assert!(why.body.contains(&format!("{split} (split) read version 7 of b")), "{}", why.body);
+    run(&mut w, "split", "b", Some(8), &[]);
+    let then = w.now + 150 * S;
+    play_until(&mut w, then);
+    assert!(w.finished().is_empty(), "{:?}", w.finished());
+    assert_eq!(w.permits_held("b"), 0, "it ends with its attempt");
+}
+
+/// A merge that runs when its batch is replaced is stopped, is pending, and is done after the new run.
+#[test]
+fn a_running_merge_that_has_become_stale_is_stopped_and_held() {
+    for (seed, kind) in [(952, "batch"), (953, "group")] {
+        let mut w = world(seed, Shape { jobs: 0, ..SMALL });
+        play_until(&mut w, 30 * S);
+        let split = run(&mut w, "split", "b", Some(7), &[]);
+        let mut b = body("wk-800001", "merge", kind, 2, &[&split]);
+        b["merges"] = of("b", 7);
+        w.add_given(&b, 60 * S);
+        let on = |w: &World| w.workers.iter().flat_map(|m| &m.tasks).filter(|t| t.on()).count();
+        while on(&w) < 2 {
+            let next = w.now + S / 2;
+            assert!(next < 120 * S, "it does not start");
+            play_until(&mut w, next);
+        }
+        assert_eq!(w.ask_operator(1, OpRequest::PutBatch("b".into(), 8)).status, 200);
+        let then = w.now + 12 * S;
+        play_until(&mut w, then);
+        assert_eq!(on(&w), 0, "{kind}: what is old runs on");
+        let asked = w.ask(0, UserRequest::Query("wk-800001".into()));
+        assert!(asked.body.contains("pending"), "{}", asked.body);
+        run(&mut w, "split", "b", Some(8), &[]);
+        let then = w.now + 200 * S;
+        play_until(&mut w, then);
+        assert!(w.finished().is_empty(), "{kind}: {:?}", w.finished());
+    }
+}
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -15,6 +15,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 
+mod batches;
 mod days;
 mod net;
 mod outside;
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -89,6 +89,8 @@
 pub(crate) enum Ticket {
     Worker(usize, u64),
     User(String, char),
+    /// A merge asks whether it may write.
+    Writer(batches::Question),
     /// A test asks.
     Asked,
     /// Somebody polls a job through a controller, since when.
@@ -153,6 +155,9 @@
     pub(crate) brittle: f64,
     pub(crate) silence: Silence,
     pub(crate) balancer: Balancer,
+    /// What operators have set beyond the platform's file.
+    pub(crate) operators: Option<Operators>,
+    pub(crate) batches: batches::Batches,
     pub(crate) log: Vec<String>,
 }
 
@@ -197,6 +202,8 @@
             brittle: 0.0,
             silence: Silence::default(),
             balancer: Balancer::default(),
+            operators: None,
+            batches: batches::Batches::default(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
