--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -144,6 +144,8 @@
     pub(crate) unruly: f64,
     /// A class whose starts the workers refuse, to show that the bar of half a class can fail.
     pub(crate) starved: Option<&'static str>,
+    /// Only its jobs of at least so many tasks.
+    pub(crate) starved_from: u32,
     /// Controllers' processes that end are back within half a second.
     pub(crate) quick: bool,
     /// How likely it is that a process ends while it raises an epoch, hands over, claims or writes a record.
@@ -190,6 +192,7 @@
             parcels: 0,
             unruly: 0.0,
             starved: None,
+            starved_from: 0,
             quick: false,
             brittle: 0.0,
             silence: Silence::default(),
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -154,6 +154,7 @@
         w.stalls = 0.0;
         w.run(troubles_until, end);
         assert!(w.underserved().is_empty(), "less than half served: {:?}", w.underserved());
+        assert!(w.begun_late().is_empty(), "not begun in time: {:?}", w.begun_late());
     }));
     if let Err(e) = r {
         eprintln!("seed {seed}, at {:.3} s: {:#?}", w.now as f64 / 1e6, w.log);
