--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -12,9 +12,9 @@
             let ms = self.settings.member_lease.0 / 1000;
             return self.ask_store(Purpose::Grant, StoreRequest::Grant(ms), out);
         };
-        // How often it joined of late decides whether its key asks for a place, and stands in the epoch record.
-        if !self.registered && self.seen.is_some() {
-            let held = self.held_back(now);
+        // How often it joined of late stands in the epoch record: once read, its key may take back that it wants a place.
+        if !self.registered {
+            let held = self.seen.is_some() && self.held_back(now);
             if held && !self.restraint.aside() {
                 tracing::info!("held back: this controller has joined too often of late");
             }
@@ -101,9 +101,6 @@
                     },
                 };
                 self.seen = Some((record, mark, sent));
-                if !self.registered {
-                    return self.ring_again(now, 0);
-                }
                 self.ask_store(
                     Purpose::ReadMembers(sent),
                     StoreRequest::List("ring/m/".into(), String::new()),
@@ -126,7 +123,8 @@
                     .filter(|(n, _)| self.settings.members.contains(n))
                     .collect();
                 let own = (self.settings.member.clone(), self.boot);
-                if self.restraint.aside() && !self.held_back(now) {
+                let held = !self.membership.is_in(&record) && self.held_back(now);
+                if self.restraint.aside() != held {
                     // Its key must say so before the epoch is raised.
                     self.registered = false;
                     return self.ring_again(now, 0);
