--- a/crates/lab/src/batches.rs
+++ b/crates/lab/src/batches.rs
@@ -143,7 +143,7 @@
     let follows = json!([check.0]);
     jobs.push(check);
     for _ in 0..rng.random_range(1..3) {
-        jobs.push(job(rng, "merge", (30, 160), &[("merges", of(1)), ("follows", follows.clone())]));
+        jobs.push(job(rng, "merge", (80, 400), &[("merges", of(1)), ("follows", follows.clone())]));
     }
     let mut new = Vec::new();
     for _ in 0..halves {
@@ -156,7 +156,7 @@
         name,
         begins,
         jobs,
-        replaced: begins + ms(rng, 1_000, 14_000),
+        replaced: begins + ms(rng, 1_000, 24_000),
         by_operator: rng.random_bool(0.6),
         again: ms(rng, 500, 9_000),
         new,
@@ -207,7 +207,10 @@
         while !ended.load(Ordering::Relaxed) {
             let running: Vec<(String, u32, u64)> = lock(&registry.ran)
                 .iter()
-                .filter(|r| r.end.is_none())
+                // Each at a moment of its own: some are stopped first, some refused.
+                .filter(|r| {
+                    r.end.is_none() && r.at.elapsed() >= Duration::from_millis(r.of.attempt * 977 % 6000)
+                })
                 .map(|r| (r.of.job.clone(), r.of.task, r.of.attempt))
                 .collect();
             for (job, task, attempt) in running {
