--- a/crates/loans/src/lib.rs
+++ b/crates/loans/src/lib.rs
@@ -1,1 +1,53 @@
 //! GPUs lent from batch work and fine-tuning to serving, and given back, within each team's guarantee.
+//!
+//! [`ledger`] has the record of who lent what to whom: claimed before anything is stopped, and never kept for ever. [`take`]
+//! says what may be taken and where the least is lost. [`back`] says when a replica goes so that the lender gets its GPUs. All
+//! are pure: no clock, no sockets; times are passed in. Whether a job is within its team's guarantee is decided elsewhere, once,
+//! and passed in. `docs/loans.md` has the argument.
+
+pub mod back;
+pub mod ledger;
+pub mod take;
+
+use std::ops::{Add, Sub};
+
+/// Room on a machine, or what a task takes of it, in thousandths.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Amount {
+    /// Thousandths of a GPU.
+    pub gpus: i64,
+    /// Thousandths of a processor.
+    pub cpus: i64,
+    /// Thousandths of a gigabyte.
+    pub memory: i64,
+}
+
+impl Amount {
+    /// Whether there is room for `other`.
+    #[must_use]
+    pub fn holds(self, other: Amount) -> bool {
+        self.gpus >= other.gpus && self.cpus >= other.cpus && self.memory >= other.memory
+    }
+    /// How many of `one` fit; none if `one` is nothing.
+    #[must_use]
+    pub fn count_of(self, one: Amount) -> u32 {
+        let part = |have: i64, each: i64| (each > 0).then(|| have.max(0) / each);
+        let parts = [part(self.gpus, one.gpus), part(self.cpus, one.cpus), part(self.memory, one.memory)];
+        let least = parts.into_iter().flatten().min().unwrap_or(0);
+        u32::try_from(least).unwrap_or(u32::MAX)
+    }
+}
+
+impl Add for Amount {
+    type Output = Amount;
+    fn add(self, o: Amount) -> Amount {
+        Amount { gpus: self.gpus + o.gpus, cpus: self.cpus + o.cpus, memory: self.memory + o.memory }
+    }
+}
+
+impl Sub for Amount {
+    type Output = Amount;
+    fn sub(self, o: Amount) -> Amount {
+        Amount { gpus: self.gpus - o.gpus, cpus: self.cpus - o.cpus, memory: self.memory - o.memory }
+    }
+}
