Loans: claims that a lender's owner refuses end at once; terms in the operators' file

A gang that came to lie within its guarantee between its offer and the claim held the claim up for a minute. Loans keep the room of their replicas. [loans] in the operators' INI names borrowers and terms; without borrowers nothing is lent.

--- a/crates/loans/src/back.rs
+++ b/crates/loans/src/back.rs
@@ -78,7 +78,7 @@
         let s = stands(&l.job, &l.machine);
         let goes = i64::from(s.replicas) * s.each;
         // Guards the borrower's own guarantee: what is within it stays.
-        if s.within || left - goes < borrower.guarantee {
+        if s.within || (borrower.guarantee > 0 && left - goes < borrower.guarantee) {
             continue;
         }
         left -= goes;
@@ -110,6 +110,7 @@
             cpus: 0,
             memory: 0,
             replicas: 1,
+            hold: (4000, 0, 0),
             machine: machine.into(),
             since_us: since_s * 1_000_000,
             state,
--- a/crates/loans/src/ledger.rs
+++ b/crates/loans/src/ledger.rs
@@ -8,7 +8,7 @@
 use serde_json::{Map, Value, json};
 
 /// A claim that shows no effect for so long is given up.
-pub const TAKING_S: u64 = 90;
+pub const TAKING_S: u64 = 60;
 
 /// How far a loan has got. It only goes forward.
 #[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -47,6 +47,9 @@
     /// How many replicas come there for it; 0 on all but one of the loans that make room together.
     #[serde(default)]
     pub replicas: u32,
+    /// Room that those replicas take: thousandths of GPUs, processors and gigabytes. It is kept for them.
+    #[serde(default)]
+    pub hold: (i64, i64, i64),
     /// The machine.
     pub machine: String,
     /// When the present state began, by the time of day, in microseconds.
@@ -81,6 +84,8 @@
     pub machine: String,
     /// How many replicas come there.
     pub replicas: u32,
+    /// What each takes.
+    pub each: crate::Amount,
     /// What is stopped there, by lender's job.
     pub parts: Vec<Part>,
 }
@@ -109,6 +114,9 @@
     pub missing: Option<u32>,
     /// Whether the machine is certainly gone.
     pub gone: bool,
+    /// Whether the lender's job has come to lie within its team's guarantee since it was offered, and goes on: nothing of
+    /// it is stopped.
+    pub refused: bool,
     /// Whether the lender's job still lacks places; false also if it has ended.
     pub lender_lacks: Option<bool>,
 }
@@ -188,6 +196,8 @@
                 return Err(Refused::Lent(part.from.clone(), t.0));
             }
             next.fence += 1;
+            let replicas = if n == 0 { claim.replicas.max(1) } else { 0 };
+            let of = |each: i64| each * i64::from(replicas);
             next.loans.push(Loan {
                 id: next.fence,
                 job: job.to_owned(),
@@ -197,7 +207,8 @@
                 gpus: part.room.gpus,
                 cpus: part.room.cpus,
                 memory: part.room.memory,
-                replicas: if n == 0 { claim.replicas.max(1) } else { 0 },
+                replicas,
+                hold: (of(claim.each.gpus), of(claim.each.cpus), of(claim.each.memory)),
                 machine: claim.machine.clone(),
                 since_us: now_us,
                 state: State::Taking,
@@ -221,6 +232,7 @@
             let state = match l.state {
                 // A machine that is gone has nothing to give back.
                 _ if f.gone => None,
+                State::Taking if f.refused => None,
                 State::Taking if f.live == Some(true) && f.there.is_some_and(|n| n > 0) => Some(State::Held),
                 // Guards against claims for ever: the need is over, or nothing came of it.
                 State::Taking if over || f.missing == Some(0) || age > TAKING_S * 1_000_000 => {
@@ -264,7 +276,7 @@
     fn claim(machine: &str, from: &str, task: u32) -> Claim {
         let room = Amount { gpus: 8000, cpus: 9000, memory: 1 };
         let part = Part { lender: "vision".into(), from: from.into(), tasks: vec![(task, 7)], room };
-        Claim { machine: machine.into(), replicas: 1, parts: vec![part] }
+        Claim { machine: machine.into(), replicas: 1, each: room, parts: vec![part] }
     }
 
     #[test]
@@ -299,6 +311,7 @@
         let at = |l: &Ledger, now: u64, f: Facts| l.tidy(now, s(30), |_| f);
         let live = Facts { live: Some(true), there: Some(0), missing: Some(1), ..Facts::default() };
         assert_eq!(at(&fresh, s(10), live), None);
+        assert!(at(&fresh, s(10), Facts { refused: true, ..live }).expect("moves").loans.is_empty());
         assert_eq!(
             at(&fresh, s(500), Facts { live: Some(true), ..live }).expect("moves").loans[0].state,
             State::Returning
--- a/crates/loans/src/take.rs
+++ b/crates/loans/src/take.rs
@@ -216,7 +216,7 @@
         part.tasks.push((t.index, t.attempt));
         part.room = part.room + t.room;
     }
-    Claim { machine: machine.to_owned(), replicas: c.replicas, parts: parts.into_values().collect() }
+    Claim { machine: machine.to_owned(), replicas: c.replicas, each: need.each, parts: parts.into_values().collect() }
 }
 
 /// How many replicas all machines of these units hold once they are stopped.
@@ -268,7 +268,7 @@
     if !room.holds(need.each) {
         return None;
     }
-    // Guards against taking in vain: the first ones may not be needed beside the last.
+    // The first ones may not be needed beside the last: they don't count against the machine.
     let mut n = 0;
     while n < stop.len() {
         let less = room - units[stop[n]].on(machine);
--- a/crates/loans/tests/fleets.rs
+++ b/crates/loans/tests/fleets.rs
@@ -144,6 +144,7 @@
                 there: known.then_some(u32::from(held.contains(&l.machine))),
                 missing: Some(1),
                 gone: false,
+                refused: false,
                 lender_lacks: Some(true),
             };
             let next = ledger.tidy(now, back_us, facts).unwrap_or_else(|| ledger.clone());
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -2,6 +2,7 @@
 //! as if it were empty.
 
 use hazelsaddle_logs::config::{ConfigError, ini_of, text_of};
+use crate::units::Micros;
 use std::net::SocketAddrV4;
 
 /// Log stores named at the most: their addresses are in every answer about a job.
@@ -12,6 +13,21 @@
 pub struct Operators {
     /// Reader addresses of log stores; told to whoever asks about a job.
     pub log_stores: Vec<SocketAddrV4>,
+    /// Who may borrow GPUs, and on which terms; None: nobody.
+    pub loans: Option<LoanTerms>,
+}
+
+/// On which terms GPUs are lent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoanTerms {
+    /// Teams or classes whose services may borrow.
+    pub borrowers: Vec<String>,
+    /// A replica that was taken for is left where it is for so long.
+    pub stay: Micros,
+    /// Room that comes back is kept for its lender for so long.
+    pub back: Micros,
+    /// A lender's lack, or a service's, counts once it has lasted for so long.
+    pub burst: Micros,
 }
 
 impl Operators {
@@ -30,6 +46,12 @@
     pub fn parse(file: &str, text: &str) -> Result<Operators, ConfigError> {
         let ini = ini_of(file, text)?;
         let mut found = Operators::default();
+        let mut terms = LoanTerms {
+            borrowers: Vec::new(),
+            stay: Micros::from_millis(300_000),
+            back: Micros::from_millis(30_000),
+            burst: Micros::from_millis(20_000),
+        };
         for (section, values) in ini.iter() {
             let section = section.unwrap_or("");
             for (key, value) in values.iter() {
@@ -46,10 +68,26 @@
                             return Err(bad(format!("names {STORES} stores at the most")));
                         }
                     }
+                    ("loans", "borrowers") => {
+                        let names = value.split(',').map(str::trim).filter(|n| !n.is_empty());
+                        terms.borrowers = names.map(str::to_owned).collect();
+                    }
+                    ("loans", key @ ("stay_s" | "back_s" | "burst_s")) => {
+                        let (least, most) = if key == "back_s" { (1.0, 30.0) } else { (0.0, 86_400.0) };
+                        let s: f64 = value.parse().ok().filter(|s| (least..=most).contains(s)).ok_or_else(
+                            || bad(format!("{value:?} is no number of seconds from {least} to {most}")),
+                        )?;
+                        *match key {
+                            "stay_s" => &mut terms.stay,
+                            "back_s" => &mut terms.back,
+                            _ => &mut terms.burst,
+                        } = Micros::from_secs(s);
+                    }
                     _ => return Err(bad("is no setting".into())),
                 }
             }
         }
+        found.loans = (!terms.borrowers.is_empty()).then_some(terms);
         Ok(found)
     }
 }
@@ -64,9 +102,15 @@
         assert_eq!(all, Operators::default(), "everything in it is commented out");
         let on = Operators::parse("f.ini", "[logs]\nstores = 10.3.0.1:7103, 10.3.0.2:7103\n").expect("valid");
         assert_eq!(on.log_stores.len(), 2);
+        let on = Operators::parse("f.ini", "[loans]\nborrowers = serve, chat\nstay_s = 60\n").expect("valid");
+        let terms = on.loans.expect("switched on");
+        assert_eq!((terms.borrowers.len(), terms.stay, terms.back.secs()), (2, Micros::from_secs(60.0), 30.0));
         for (text, named) in [
             ("[logs]\nstores = here:1\n", "f.ini: [logs] stores"),
             ("[logs]\nstore = 10.0.0.1:1\n", "f.ini: [logs] store:"),
+            ("[loans]\nstay_s = soon\n", "f.ini: [loans] stay_s"),
+            ("[loans]\nback_s = 31\n", "f.ini: [loans] back_s"),
+            ("[loans]\nborrower = serve\n", "f.ini: [loans] borrower:"),
             ("[log]\nstores = 10.0.0.1:1\n", "f.ini: [log] stores:"),
         ] {
             let e = Operators::parse("f.ini", text).expect_err(text).to_string();
