GPUs are lent to serving by a ledger that is on record before anything is stopped

Owners tell one another, where operators switch loans on, what their jobs run on GPUs beyond their teams' guarantees (a new message behind the old ones, from form 4 on). The owner of a service that finds no room claims in its team's ledger, on condition of all ledgers' marks; the lenders' owners read it and stop what it names, gangs whole; the room is kept for the replicas, and later for the lender.

--- a/crates/loans/src/take.rs
+++ b/crates/loans/src/take.rs
@@ -216,7 +216,12 @@
         part.tasks.push((t.index, t.attempt));
         part.room = part.room + t.room;
     }
-    Claim { machine: machine.to_owned(), replicas: c.replicas, each: need.each, parts: parts.into_values().collect() }
+    Claim {
+        machine: machine.to_owned(),
+        replicas: c.replicas,
+        each: need.each,
+        parts: parts.into_values().collect(),
+    }
 }
 
 /// How many replicas all machines of these units hold once they are stopped.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod handover;
 mod keeping;
+mod loans;
 mod order;
 mod plan;
 mod records;
@@ -179,6 +180,7 @@
     blame: Blame,
     waiting: Waiting,
     demands: Vec<Demand>,
+    loans: loans::Loans,
     gang_wait: Micros,
     objectives: Vec<Objective>,
     /// What each team is guaranteed, of those that are guaranteed anything.
@@ -239,6 +241,7 @@
             blame: Blame::default(),
             waiting: Waiting::default(),
             demands: Vec::new(),
+            loans: loans::Loans::new(s.operators.loans.clone()),
             gang_wait: s.gang_wait,
             objectives: s.objectives.clone(),
             guaranteed: s
@@ -328,6 +331,7 @@
         });
         self.doubts.keep(&used.collect());
         self.dirty.fill(true);
+        self.loans.anew();
         self.demands.clear();
         self.others.inherit(&std::mem::take(&mut self.reserved));
     }
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -130,6 +130,7 @@
         }
         let views = std::mem::take(&mut self.views);
         let mut places = self.places(now, m, &views);
+        self.loans.hold_back(&mut places);
         self.leave_headroom(&mut places);
         let mut short: Vec<Short> = Vec::new();
         // Shapes for which no machine has room left: nothing as large is looked for again.
@@ -179,6 +180,7 @@
             let mut old: BTreeSet<&str> =
                 self.open_of(&id).filter(|(k, _)| !j.done.contains(k.0)).map(|(k, _)| k.1.as_str()).collect();
             old.append(&mut self.blame.avoided(now, &id));
+            old.extend(self.loans.left_by(&id));
             let suspected = self.blame.suspected(&id);
             // What is borrowed keeps away from machines where room is being made for a guarantee; that it finds none
             // says nothing about other work.
@@ -197,12 +199,15 @@
                 let hopeless = full.iter().any(|f| {
                     f.kind == Kind::Gang && f.tasks <= j.spec.tasks && placement::no_easier(&j.spec, f)
                 });
-                let at = (!hopeless).then(|| {
+                let lent = self.loans.lend(&mut places, &id, j);
+                let at = (!hopeless || !lent.is_empty()).then(|| {
                     placement::gang(&j.spec, &places, &counts, |p| {
                         !old.contains(p.name.as_str()) && !apart(p)
                     })
                 });
-                match at.flatten() {
+                let at = at.flatten();
+                loans::Loans::unlend(&mut places, &lent, one, at.as_deref().unwrap_or_default());
+                match at {
                     Some(at) => {
                         for (i, &pl) in at.iter().enumerate() {
                             places[pl].take(one);
@@ -235,14 +240,26 @@
                     .take(if self.due(j) { allowed.min(FIRST_LOT) } else { allowed }.min(budget))
                     .collect();
                 let hopeless = full.iter().any(|f| f.kind != Kind::Gang && placement::no_easier(&j.spec, f));
-                let at = if hopeless || next.is_empty() {
+                // Room that is kept for the job goes first, or it would have been kept, or taken, in vain.
+                let lent = self.loans.lend(&mut places, &id, j);
+                let at = if (hopeless && lent.is_empty()) || next.is_empty() {
                     Vec::new()
                 } else {
                     let usable = |p: &MachineDigest| {
                         !old.contains(p.name.as_str()) && !apart(p) && !left_alone.contains(p.name.as_str())
                     };
-                    placement::fill(&j.spec, &mut places, &mut counts, next.len(), usable)
+                    let kept: BTreeSet<String> =
+                        lent.iter().map(|(i, _)| places[*i].machine.name.clone()).collect();
+                    let first = |p: &MachineDigest| usable(p) && kept.contains(&p.name);
+                    let mut at = match lent.is_empty() {
+                        true => Vec::new(),
+                        false => placement::fill(&j.spec, &mut places, &mut counts, next.len(), first),
+                    };
+                    let rest = next.len() - at.len();
+                    at.extend(placement::fill(&j.spec, &mut places, &mut counts, rest, usable));
+                    at
                 };
+                loans::Loans::unlend(&mut places, &lent, one, &at);
                 if at.len() < next.len() {
                     unplaced = (left - at.len()).min(allowed) as u32;
                     if !hopeless && old.is_empty() && !j.spec.one_zone && !j.spec.spread && !kept_out {
@@ -250,11 +267,15 @@
                     }
                 }
                 budget -= at.len();
-                if unplaced > 0 && !suspected && j.footing == Footing::Within && age >= asks_after {
+                // What a borrower lacks is claimed in its team's ledger first; asked back here too, it would be taken twice.
+                let asks = j.footing == Footing::Within && age >= asks_after && !self.borrows(&j.spec);
+                if unplaced > 0 && !suspected && asks {
                     short.push(Short { spec: j.spec.clone(), count: unplaced });
                 }
                 starts.extend(next.into_iter().zip(at));
             }
+            // A loan is sooner than a machine that has to boot: none is rented for what is claimed, or about to be.
+            let unplaced = unplaced.saturating_sub(self.loans.covers(now, &id));
             if unplaced > 0 {
                 let s = &j.spec;
                 self.demands.push(Demand {
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod handover;
 mod links;
+mod loans;
 mod records;
 mod users;
 mod witness;
@@ -14,6 +15,7 @@
 use self::follow::Follow;
 use self::handover::Handover;
 pub use self::handover::LEAVING;
+use self::loans::{LoanPurpose, Loans};
 use self::witness::Witness;
 use crate::fleet::{CloudAnswer, CloudRequest, Fleet};
 use crate::jobs::{Final, Owner, RecordWrite};
@@ -126,6 +128,7 @@
     Check(String, String),
     CheckEnd(String, String),
     Refuse(String, String),
+    Loan(LoanPurpose),
 }
 
 /// What is read at the beginning of an epoch.
@@ -201,6 +204,7 @@
     accepting: BTreeMap<String, Accepting>,
     follow: Follow,
     handover: Handover,
+    loans: Loans,
     witness: Witness,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
     withdrawing: BTreeMap<String, Vec<Origin>>,
@@ -260,6 +264,7 @@
             accepting: BTreeMap::new(),
             follow: Follow::default(),
             handover: Handover::new(n),
+            loans: Loans::default(),
             witness: Witness::new(n),
             lookups: BTreeMap::new(),
             withdrawing: BTreeMap::new(),
@@ -383,6 +388,7 @@
                 self.owner.make_room(now, &self.membership);
             }
             self.team_loop(now, out);
+            self.loan_loop(now, out);
             self.record_loop(now, out);
             if self.fleet.due(now) {
                 let decider = self.membership.decider() == Some(self.settings.me);
@@ -449,6 +455,9 @@
             "teams": teams,
             "store": {"requests_left": self.requests.level(now), "writes_left": self.writes.level(now), "in_flight": self.in_flight.len()},
         });
+        if self.settings.operators.loans.is_some() {
+            status["loans"] = self.loan_status();
+        }
         if !self.settings.operators.log_stores.is_empty() {
             status["logs"] = json!({"stores": self.settings.operators.log_stores});
         }
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -192,6 +192,7 @@
         self.testify(now, record, follows);
         self.home.adopt(now, &self.membership, follows, |job| ring_before.owner(&format!("job/{job}")));
         self.owner.adopt(&self.membership, follows);
+        self.loans_anew();
         // All records are read again, by everybody.
         self.standing_in.clear();
         self.teams.unread();
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -7,7 +7,7 @@
 pub(super) const FORM: u64 = 2;
 /// The newest form that this version reads; it says so in its member's value. Version 1 says nothing. Form 3 adds
 /// `Message::HandOver` and `Message::Taken`.
-pub(super) const NEWEST: u64 = 3;
+pub(super) const NEWEST: u64 = 4;
 /// Says that every controller has read form 2 at one time, so that one that is merely away need not
 /// be waited for. It lies among the members' keys, which are read anyway; the first version skips it,
 /// since it is no member's name.
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -79,6 +79,9 @@
                     list.into_iter().filter(|n| m.home(n) == Some(m.me) && home.is_gone(n) == Some(false));
                 self.aside.stray(now, ours);
             }
+            Message::Lending(told) if same && from != self.settings.me => {
+                self.owner.others_lend(now, from, told)
+            }
             Message::Needed(list) if same => self.owner.urged_by(from, list),
             Message::HandOver { number, parcel } if same => self.parcel(now, from, f.boot, number, parcel),
             Message::Vouch { rev, since, added, dropped } if same && from != self.settings.me => {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -162,6 +162,7 @@
             Purpose::Check(id, p) => self.checked(now, id, p, a, false, out),
             Purpose::CheckEnd(id, p) => self.checked(now, id, p, a, true, out),
             Purpose::Refuse(id, why) => self.refused(now, id, why, a, out),
+            Purpose::Loan(p) => self.loan_answer(now, p, a),
             Purpose::Accept(id, epoch) => self.accepted(now, id, epoch, a, out),
             Purpose::Record(id, w) => self.recorded(now, &id, w, a, out),
             Purpose::Verify(id) => match a {
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,8 +1,8 @@
 //! Operators' own settings, beyond the platform's file: an INI file named by `--operators`. Without it everything is
 //! as if it were empty.
 
-use hazelsaddle_logs::config::{ConfigError, ini_of, text_of};
 use crate::units::Micros;
+use hazelsaddle_logs::config::{ConfigError, ini_of, text_of};
 use std::net::SocketAddrV4;
 
 /// Log stores named at the most: their addresses are in every answer about a job.
@@ -74,9 +74,10 @@
                     }
                     ("loans", key @ ("stay_s" | "back_s" | "burst_s")) => {
                         let (least, most) = if key == "back_s" { (1.0, 30.0) } else { (0.0, 86_400.0) };
-                        let s: f64 = value.parse().ok().filter(|s| (least..=most).contains(s)).ok_or_else(
-                            || bad(format!("{value:?} is no number of seconds from {least} to {most}")),
-                        )?;
+                        let s: f64 =
+                            value.parse().ok().filter(|s| (least..=most).contains(s)).ok_or_else(|| {
+                                bad(format!("{value:?} is no number of seconds from {least} to {most}"))
+                            })?;
                         *match key {
                             "stay_s" => &mut terms.stay,
                             "back_s" => &mut terms.back,
@@ -104,7 +105,10 @@
         assert_eq!(on.log_stores.len(), 2);
         let on = Operators::parse("f.ini", "[loans]\nborrowers = serve, chat\nstay_s = 60\n").expect("valid");
         let terms = on.loans.expect("switched on");
-        assert_eq!((terms.borrowers.len(), terms.stay, terms.back.secs()), (2, Micros::from_secs(60.0), 30.0));
+        assert_eq!(
+            (terms.borrowers.len(), terms.stay, terms.back.secs()),
+            (2, Micros::from_secs(60.0), 30.0)
+        );
         for (text, named) in [
             ("[logs]\nstores = here:1\n", "f.ini: [logs] stores"),
             ("[logs]\nstore = 10.0.0.1:1\n", "f.ini: [logs] store:"),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -278,6 +278,49 @@
     },
     /// From form 3 on: the sender holds what that message of the receiver's said.
     Noted(u64),
+    /// From form 4 on, where operators have switched loans on: what the sender's jobs could lend, and what they lack.
+    Lending(Lending),
+}
+
+/// What an owner's jobs run on GPUs beyond their teams' guarantees, and what work within a guarantee lacks.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, Default, PartialEq)]
+pub struct Lending {
+    /// Jobs some of whose room could be had.
+    pub jobs: Vec<Lendable>,
+    /// By team: room that its work within its guarantee lacks, and for how long it has.
+    pub lacks: Vec<(String, Room, Micros)>,
+}
+
+/// A job some of whose room could be had.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Lendable {
+    /// The job.
+    pub job: String,
+    /// Its team.
+    pub team: String,
+    /// Its rank, without what a guarantee adds.
+    pub rank: u8,
+    /// Whether it is a gang, which is stopped whole.
+    pub gang: bool,
+    /// What each task takes.
+    pub room: Room,
+    /// Its tasks.
+    pub tasks: Vec<LendableTask>,
+}
+
+/// One task of such a job.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct LendableTask {
+    /// Its number.
+    pub index: u32,
+    /// Which start.
+    pub attempt: u64,
+    /// The machine.
+    pub machine: String,
+    /// Run time that would be lost, in milliseconds.
+    pub lost_ms: u64,
+    /// Whether it must be left alone for now.
+    pub fixed: bool,
 }
 
 /// What would be lost with a controller that owns a job and is the home of the machine that runs it.
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -4,6 +4,7 @@
 use hazelsaddle::fleet::{CloudAnswer, CloudRequest, Listed};
 use hazelsaddle::machines::{Report, ReportedTask};
 use hazelsaddle::node::{Effect, Event, Node};
+use hazelsaddle::operators::Operators;
 use hazelsaddle::peer::{Message, Reply, UserRequest};
 use hazelsaddle::settings::Settings;
 use hazelsaddle::spec::{MachineType, Spec};
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -86,7 +86,8 @@
                         | Message::HandOver { .. }
                         | Message::Taken(_)
                         | Message::Vouch { .. }
-                        | Message::Noted(_) => true,
+                        | Message::Noted(_)
+                        | Message::Lending(_) => true,
                         Message::Ask { request: UserRequest::Submit(_, body), .. } => {
                             body.contains("\"follows\":[\"") && !self.limited[n]
                         }
--- a/tests/world/outside.rs
+++ b/tests/world/outside.rs
@@ -90,7 +90,7 @@
 
     pub(crate) fn cloud(&mut self, r: &CloudRequest) -> CloudAnswer {
         match r {
-            CloudRequest::Types => CloudAnswer::Types(types()),
+            CloudRequest::Types => CloudAnswer::Types(types(self.shape)),
             CloudRequest::List(after) => {
                 let listed = |w: &Worker| Listed {
                     name: w.name.clone(),
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -136,6 +136,10 @@
     pub(crate) unruly: f64,
     /// A class whose starts the workers refuse, to show that the bar of half a class can fail.
     pub(crate) starved: Option<&'static str>,
+    /// Gang tasks that ended because others of their gang were gone.
+    pub(crate) spoilt: usize,
+    /// Since when a gang's attempt has lacked tasks.
+    pub(crate) lacks: BTreeMap<(String, u64), u64>,
     pub(crate) log: Vec<String>,
 }
 
@@ -176,11 +180,16 @@
             parcels: 0,
             unruly: 0.0,
             starved: None,
+            spoilt: 0,
+            lacks: BTreeMap::new(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
             w.add_worker("large", ZONES[i % 2], false, 0);
         }
+        for i in 0..shape.gpus {
+            w.add_worker("gpu", ZONES[i % 2], false, 0);
+        }
         w
     }
 
--- a/tests/world/shape.rs
+++ b/tests/world/shape.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Shape {
     pub(crate) machines: usize,
+    /// Machines with GPUs beside them. Where there are any, teams have guarantees for GPUs, and loans are switched on.
+    pub(crate) gpus: usize,
     /// Machines that the cloud has in each zone.
     pub(crate) room: usize,
     pub(crate) teams: usize,
@@ -26,6 +28,7 @@
 
 pub(crate) const SMALL: Shape = Shape {
     machines: 4,
+    gpus: 0,
     room: 6,
     teams: 2,
     gang: 4,
@@ -41,6 +44,7 @@
 /// what the machines can carry is done when the day is over.
 pub(crate) const GROWN: Shape = Shape {
     machines: 240,
+    gpus: 0,
     room: 150,
     teams: 10,
     gang: 25,
@@ -52,6 +56,9 @@
 };
 
 pub(crate) fn limit(team: usize, shape: Shape) -> f64 {
+    if shape.gpus > 0 {
+        return if team % 2 == 1 { 0.0 } else { 96.0 };
+    }
     // Every other team has a limit.
     if team % 2 == 1 { 0.0 } else { 24.0 * (shape.machines / 4) as f64 / (shape.teams / 2) as f64 }
 }
@@ -73,7 +80,8 @@
     let seeds: String = (0..3).filter(|&i| i != me).map(seed).collect();
     let team = |i: usize| {
         let max = limit(i, shape);
-        format!("[[settings.teams]]\nname = \"t{i}\"\ncpus = {:.1}\ncpus_max = {max:.1}\n", max / 3.0)
+        let gpus = if shape.gpus > 0 { "gpus = 8.0\ngpus_max = 64.0\n" } else { "" };
+        format!("[[settings.teams]]\nname = \"t{i}\"\ncpus = {:.1}\ncpus_max = {max:.1}\n{gpus}", max / 3.0)
     };
     let teams: String = (0..shape.teams).map(team).collect();
     let text = format!(
@@ -86,21 +94,30 @@
         me + 1,
         me + 1
     );
-    Settings::parse("test", &text).expect("the settings are valid")
+    let mut settings = Settings::parse("test", &text).expect("the settings are valid");
+    if shape.gpus > 0 {
+        let text = "[loans]\nborrowers = serve\nstay_s = 30\nburst_s = 5\n";
+        settings.operators = Operators::parse("test", text).expect("valid");
+    }
+    settings
 }
 
-pub(crate) fn types() -> Vec<MachineType> {
-    let t = |name: &str, cpus: f64| MachineType {
+pub(crate) fn types(shape: Shape) -> Vec<MachineType> {
+    let t = |name: &str, cpus: f64, gpus: f64| MachineType {
         name: name.into(),
         cpus,
-        gpus: 0.0,
+        gpus,
         memory_gb: 64.0,
-        price: cpus,
-        spot_price: cpus / 2.0,
+        price: cpus + 10.0 * gpus,
+        spot_price: cpus / 2.0 + 5.0 * gpus,
         boot_s: 10.0,
         zones: ZONES.iter().map(|z| z.to_string()).collect(),
     };
-    vec![t("small", 4.0), t("large", 8.0)]
+    let mut all = vec![t("small", 4.0, 0.0), t("large", 8.0, 0.0)];
+    if shape.gpus > 0 {
+        all.push(t("gpu", 8.0, 4.0));
+    }
+    all
 }
 
 pub(crate) const S: u64 = 1_000_000;
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -61,10 +61,16 @@
                     .filter(|t| t.state != "ended")
                     .map(|t| self.jobs[&t.job].spec.room.cpus)
                     .sum();
-                let cap = if w.kind == "large" { 8000 } else { 4000 };
+                let alive = self.workers[i].tasks.iter().filter(|t| t.state != "ended");
+                let gpus: i64 = alive.map(|t| self.jobs[&t.job].spec.room.gpus).sum();
+                let has = if w.kind == "gpu" { 4000 } else { 0 };
+                let cap = if w.kind == "small" { 4000 } else { 8000 };
                 let why = if busy {
                     Some("busy")
-                } else if used + spec.room.cpus > cap || self.starved == Some(spec.class.as_str()) {
+                } else if used + spec.room.cpus > cap
+                    || gpus + spec.room.gpus > has
+                    || self.starved == Some(spec.class.as_str())
+                {
                     Some("no_room")
                 } else {
                     None
@@ -205,6 +211,8 @@
             }
         }
         let now = self.now;
+        // Where there are GPUs a gang takes its time to notice, as the protocol has it, so that an orderly stop shows.
+        let notices = if self.shape.gpus > 0 { 6 * S } else { 0 };
         for w in self.workers.iter_mut().filter(|w| !w.gone && !w.dead && now >= w.hung_until) {
             for t in &mut w.tasks {
                 let Some(j) = self.jobs.get(&t.job) else { continue };
@@ -221,9 +229,11 @@
                     && running.get(&key).is_none_or(|s| s.len() < all)
                     && !waiting.contains_key(&key)
                     && j.done.is_empty()
+                    && now >= *self.lacks.entry(key).or_insert(now) + notices
                 {
                     t.state = "ended";
                     t.why = Some("peers");
+                    self.spoilt += 1;
                     w.changed = true;
                 }
             }
