--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod guarantee;
 pub mod jobs;
+pub mod lending;
 pub mod machines;
 pub mod node;
 pub mod operators;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use clap::{Parser, Subcommand};
+use hazelsaddle::lending::{self, LoansArgs};
 use hazelsaddle::{daemon, operators::Operators, settings::Settings};
 use hazelsaddle_logs::cli as logs_cli;
 use std::process::ExitCode;
@@ -36,6 +37,8 @@
     /// List and fetch the files that tasks produced.
     #[command(subcommand)]
     Artefacts(logs_cli::ArtefactsCommand),
+    /// Show who lent GPUs to whom, and when they are due back.
+    Loans(LoansArgs),
     /// Check a settings file and print what follows from it.
     Check {
         /// The platform's settings file (TOML).
@@ -81,6 +84,16 @@
         }
     };
     match Cli::parse().command {
+        Action::Loans(args) => match lending::loans(&args) {
+            Ok(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(why) => {
+                eprintln!("hazelsaddle: {why}");
+                ExitCode::from(1)
+            }
+        },
         Action::Store(args) => {
             logs();
             told(logs_cli::store(&args))
