--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -9,6 +9,7 @@
 pub(crate) mod follow;
 mod handover;
 mod keeping;
+mod loans;
 mod newcomers;
 mod order;
 mod plan;
@@ -193,6 +194,7 @@
     keep_class: bool,
     demands: Vec<Demand>,
     doubted: doubted::Doubted,
+    loans: loans::Loans,
     gang_wait: Micros,
     objectives: Vec<Objective>,
     /// What each team is guaranteed, of those that are guaranteed anything.
@@ -256,6 +258,7 @@
             keep_class: s.operators.freshness.is_some(),
             demands: Vec::new(),
             doubted: doubted::Doubted::default(),
+            loans: loans::Loans::new(s.operators.loans.clone()),
             gang_wait: s.gang_wait,
             objectives: s.objectives.clone(),
             guaranteed: s
@@ -346,6 +349,7 @@
         });
         self.doubts.keep(&used.collect());
         self.dirty.fill(true);
+        self.loans.anew();
         self.demands.clear();
         self.doubted = doubted::Doubted::default();
         self.others.inherit(&std::mem::take(&mut self.reserved));
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use hazelsaddle::commands::{self, Asked, BatchCommand, ReleaseCommand};
+use hazelsaddle::lending::{self, LoansArgs};
 use hazelsaddle::{daemon, operators::Operators, settings::Settings};
 use hazelsaddle_logs::cli as logs_cli;
 use std::process::ExitCode;
@@ -50,6 +51,8 @@
         #[command(flatten)]
         asked: Asked,
     },
+    /// Show who lent GPUs to whom, and when they are due back.
+    Loans(LoansArgs),
     /// Check a settings file and print what follows from it.
     Check {
         /// The platform's settings file (TOML).
@@ -108,6 +111,16 @@
         Action::Release(command) => said(commands::release(&command)),
         Action::Batch(command) => said(commands::batch(&command)),
         Action::Why { job, asked } => said(commands::why(&asked, &job)),
+        Action::Loans(args) => match lending::loans(&args) {
+            Ok(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(why) => {
+                eprintln!("hazelsaddle: {why}");
+                ExitCode::from(1)
+            }
+        },
         Action::Store(args) => {
             logs();
             told(logs_cli::store(&args))
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,7 @@
 mod greet;
 mod handover;
 mod links;
+mod loans;
 mod operate;
 mod pacts;
 mod records;
@@ -21,6 +22,7 @@
 use self::freshness::{FreshPurpose, Freshness};
 use self::handover::Handover;
 pub use self::handover::LEAVING;
+use self::loans::{LoanPurpose, Loans};
 use self::pacts::{PactPurpose, Pacts};
 use self::release::Releases;
 use self::restraint::Restraint;
@@ -145,6 +147,7 @@
     Check(String, String),
     CheckEnd(String, String),
     Refuse(String, String),
+    Loan(LoanPurpose),
 }
 
 /// What is read at the beginning of an epoch.
@@ -230,6 +233,7 @@
     fresh: Freshness,
     releases: Releases,
     handover: Handover,
+    loans: Loans,
     witness: Witness,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
     withdrawing: BTreeMap<String, Vec<Origin>>,
@@ -295,6 +299,7 @@
             fresh: Freshness::default(),
             releases: Releases::default(),
             handover: Handover::new(n),
+            loans: Loans::default(),
             witness: Witness::new(n),
             lookups: BTreeMap::new(),
             withdrawing: BTreeMap::new(),
@@ -427,6 +432,7 @@
                 self.owner.make_room(now, &self.membership);
             }
             self.team_loop(now, out);
+            self.loan_loop(now, out);
             self.record_loop(now, out);
             if self.fleet.due(now) {
                 let decider = self.membership.decider() == Some(self.settings.me);
@@ -497,6 +503,9 @@
             "teams": teams,
             "store": {"requests_left": self.requests.level(now), "writes_left": self.writes.level(now), "in_flight": self.in_flight.len()},
         });
+        if self.settings.operators.loans.is_some() {
+            status["loans"] = self.loan_status();
+        }
         if !self.settings.operators.log_stores.is_empty() {
             status["logs"] = json!({"stores": self.settings.operators.log_stores});
         }
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -209,6 +209,7 @@
         self.owner.adopt(&self.membership, follows);
         self.pacts_anew();
         self.batches_anew();
+        self.loans_anew();
         // All records are read again, by everybody.
         self.standing_in.clear();
         self.teams.unread();
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -7,7 +7,7 @@
 /// The form of peers' frames from which on jobs may follow others; `Message::Needed` came with it.
 pub(super) const FORM: u64 = 2;
 /// The newest form that this version reads; it says so in its member's value. Version 1 says nothing. Form 3 adds
-/// `Message::HandOver` and `Message::Taken`; form 4 pacts.
+/// `Message::HandOver` and `Message::Taken`; form 4 pacts and loans.
 pub(super) const NEWEST: u64 = 4;
 /// The form from which on jobs may name pacts.
 pub(super) const PACTS: u64 = 4;
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -2,6 +2,7 @@
 
 mod batches;
 mod chains;
+mod loans;
 mod plain;
 mod releases;
 mod restarts;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -97,7 +97,8 @@
                         | Message::HandOver { .. }
                         | Message::Taken(_)
                         | Message::Vouch { .. }
-                        | Message::Noted(_) => true,
+                        | Message::Noted(_)
+                        | Message::Lending(_) => true,
                         Message::Ask { request: UserRequest::Submit(_, body), .. } => {
                             let names = body.contains("\"follows\":[\"") || body.contains("\"release\":{");
                             names && !self.limited[n]
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -160,6 +160,10 @@
     /// What operators have set beyond the platform's file.
     pub(crate) operators: Option<Operators>,
     pub(crate) batches: batches::Batches,
+    /// Gang tasks that ended because others of their gang were gone.
+    pub(crate) spoilt: usize,
+    /// Since when a gang's attempt has lacked tasks.
+    pub(crate) lacks: BTreeMap<(String, u64), u64>,
     pub(crate) log: Vec<String>,
 }
 
@@ -207,11 +211,16 @@
             balancer: Balancer::default(),
             operators: None,
             batches: batches::Batches::default(),
+            spoilt: 0,
+            lacks: BTreeMap::new(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
             w.add_worker("large", ZONES[i % 2], false, 0);
         }
+        for i in 0..shape.gpus {
+            w.add_worker("gpu", ZONES[i % 2], false, 0);
+        }
         w
     }
 
