--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -725,7 +725,7 @@
     #[test]
     fn jobs_that_can_still_be_on_time_go_first_and_short_ones_before_long_ones() {
         let (m, teams, mut owner, _) = owner_of(raw("batch", 50, 0.0));
-        owner.objectives = vec![Objective { kind: "finished".into(), class: "b".into(), within_s: 50.0 }];
+        owner.objectives = vec![Objective { kind: "finished".into(), class: "b".into(), within_s: 40.0 }];
         let mut add = |id: &str, tasks: u32, accepted_s: u64| {
             let mut r = raw("batch", tasks, 0.0);
             r["uid"] = json!(id);
@@ -733,7 +733,7 @@
             owner.insert(r, spec, Micros::from_millis(accepted_s * 1000), Ranges::default(), 1, true);
         };
         add("wk-2", 9, 90);
-        add("wk-3", 2, 45);
+        add("wk-3", 2, 58);
         let now = Micros::from_millis(100_000);
         // The first was accepted just after the time of day began.
         owner.jobs.get_mut("wk-1").expect("live").accepted_wall = Micros::from_millis(80_000);
@@ -741,8 +741,8 @@
         assert_eq!(owner.order(), ["wk-2", "wk-1", "wk-3"], "the third can't be on time any more");
         owner.jobs.get_mut("wk-1").expect("live").spec.tasks = 9;
         assert_eq!(owner.order(), ["wk-1", "wk-2", "wk-3"], "by age while the queue is short");
-        // Whatever is late goes behind, but what has waited for a minute to begin is not overtaken for ever.
-        owner.note_time(Micros::from_millis(106_000));
+        // Whatever is late goes behind, but what has waited for 45 s to begin is not overtaken for ever.
+        owner.note_time(Micros::from_millis(104_000));
         assert_eq!(owner.order(), ["wk-3", "wk-1", "wk-2"]);
     }
 
