One way to name controllers on the command line, one way to run an experiment

Found on a second reading: the verb loans had its own copy of commands::Asked, and two experiments the same frame. Behaviour is as it was.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -198,11 +198,27 @@
     Ok(())
 }
 
+fn failed(e: Box<dyn std::error::Error>) -> ExitCode {
+    eprintln!("hazelsaddle-lab: {e}");
+    ExitCode::from(1)
+}
+
+/// Runs an experiment: its outcome goes to standard output as one line, and 1 is the code if it doesn't hold.
+fn tried(
+    json: bool,
+    run: impl FnOnce(&std::path::Path) -> Result<(String, bool), Box<dyn std::error::Error>>,
+) -> ExitCode {
+    logging(if json { "error" } else { "info" });
+    match std::env::current_exe().map_err(Into::into).and_then(|program| run(&program)) {
+        Ok((line, holds)) => {
+            println!("{line}");
+            if holds { ExitCode::SUCCESS } else { ExitCode::from(1) }
+        }
+        Err(e) => failed(e),
+    }
+}
+
 fn main() -> ExitCode {
-    let failed = |e: Box<dyn std::error::Error>| {
-        eprintln!("hazelsaddle-lab: {e}");
-        ExitCode::from(1)
-    };
     let printed = |r: Result<serde_json::Value, Box<dyn std::error::Error>>| match r {
         Ok(v) => {
             println!("{v}");
@@ -231,34 +247,14 @@
                 Err(e) => failed(e),
             }
         }
-        Action::Experiment(Experiment::Releases { seed, machines, kills, json }) => {
-            logging(if json { "error" } else { "info" });
-            let program = match std::env::current_exe() {
-                Ok(p) => p,
-                Err(e) => return failed(e.into()),
-            };
-            match releases::releases(&program, seed, machines as usize, kills as usize) {
-                Ok(out) => {
-                    println!("{}", serde_json::to_string(&out).unwrap_or_default());
-                    if out.holds() { ExitCode::SUCCESS } else { ExitCode::from(1) }
-                }
-                Err(e) => failed(e),
-            }
-        }
-        Action::Experiment(Experiment::Freshness { seed, machines, kills, json }) => {
-            logging(if json { "error" } else { "info" });
-            let program = match std::env::current_exe() {
-                Ok(p) => p,
-                Err(e) => return failed(e.into()),
-            };
-            match batches::freshness(&program, seed, machines as usize, kills as usize) {
-                Ok(out) => {
-                    println!("{}", serde_json::to_string(&out).unwrap_or_default());
-                    if out.holds() { ExitCode::SUCCESS } else { ExitCode::from(1) }
-                }
-                Err(e) => failed(e),
-            }
-        }
+        Action::Experiment(Experiment::Releases { seed, machines, kills, json }) => tried(json, |program| {
+            let out = releases::releases(program, seed, machines as usize, kills as usize)?;
+            Ok((serde_json::to_string(&out)?, out.holds()))
+        }),
+        Action::Experiment(Experiment::Freshness { seed, machines, kills, json }) => tried(json, |program| {
+            let out = batches::freshness(program, seed, machines as usize, kills as usize)?;
+            Ok((serde_json::to_string(&out)?, out.holds()))
+        }),
         Action::Measure(m) => {
             logging("error");
             printed(match m {
--- a/src/lending.rs
+++ b/src/lending.rs
@@ -1,26 +1,15 @@
 //! The verb `loans`: who lent what to whom and when it is due back, as a controller's status has it.
 
-use clap::Args;
+use crate::commands::Asked;
 use serde_json::Value;
 use std::fmt::Write;
 use std::time::Duration;
 
-/// Whom to ask.
-#[derive(Args, Clone, Debug)]
-pub struct LoansArgs {
-    /// Controllers' addresses, separated by commas: the next is asked if one doesn't answer.
-    #[arg(long, value_name = "ADDR[,ADDR]", value_delimiter = ',', required = true)]
-    pub controller: Vec<String>,
-    /// The answer as it is, JSON, on one line.
-    #[arg(long)]
-    pub json: bool,
-}
-
 /// Asks one controller after the other; the text to print.
 ///
 /// # Errors
 /// A line for the operator, if none answers.
-pub fn loans(args: &LoansArgs) -> Result<String, String> {
+pub fn loans(args: &Asked) -> Result<String, String> {
     let agent = ureq::AgentBuilder::new().timeout(Duration::from_secs(5)).redirects(0).build();
     let mut last = "no controller is named".to_owned();
     for addr in &args.controller {
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use hazelsaddle::commands::{self, Asked, BatchCommand, ReleaseCommand};
-use hazelsaddle::lending::{self, LoansArgs};
+use hazelsaddle::lending;
 use hazelsaddle::{daemon, operators::Operators, settings::Settings};
 use hazelsaddle_logs::cli as logs_cli;
 use std::process::ExitCode;
@@ -52,7 +52,7 @@
         asked: Asked,
     },
     /// Show who lent GPUs to whom, and when they are due back.
-    Loans(LoansArgs),
+    Loans(Asked),
     /// Check a settings file and print what follows from it.
     Check {
         /// The platform's settings file (TOML).
