Answers to users: nothing older than what was told before a request was sent

Cause: a question could join a reading of the record that had begun before it; the answer to an earlier reading answered later waiters; the answer to an acceptance that came after the job's end put the job back as new; who repeated a submission was told by a write that had gone out before; what was read or written in an earlier epoch counted in a later one; a repeat with another body was turned down unread.

Change: who comes later waits for the next reading; readings have numbers; a job whose end is known never lives again; readings after a write without an answer, and acceptances, count in their own epoch only; what names a job is turned down (400, 422) only once there is no record of it.

--- a/src/api.rs
+++ b/src/api.rs
@@ -6,7 +6,7 @@
 use crate::machines::{Greeting, Report};
 use crate::node::Event;
 use crate::peer::{Reply, UserRequest};
-use crate::spec::{BODY_LIMIT, Spec, SpecError, is_job_id};
+use crate::spec::{BODY_LIMIT, Spec, is_job_id};
 use std::io::Read;
 
 /// Longest report taken: one with thousands of tasks.
@@ -55,10 +55,11 @@
                 Err(r) => Parsed::Answer(r),
                 Ok(body) => match Spec::parse(&body) {
                     Ok(s) => Parsed::Event(Event::User(ticket, UserRequest::Submit(s.id, body))),
-                    Err(e @ (SpecError::Field(..) | SpecError::Member(_) | SpecError::Body(_))) => {
-                        Parsed::Answer(Reply::error(400, &e.to_string()))
-                    }
-                    Err(e) => Parsed::Answer(Reply::error(422, &e.to_string())),
+                    Err(e) => match named(&body) {
+                        // It may repeat a job that was accepted with another body: its record is read first.
+                        Some(id) => Parsed::Event(Event::User(ticket, UserRequest::Submit(id, body))),
+                        None => Parsed::Answer(Reply::error(e.status(), &e.to_string())),
+                    },
                 },
             };
         }
@@ -100,6 +101,12 @@
     }
 }
 
+/// The job that a body names which is no valid description.
+fn named(body: &str) -> Option<String> {
+    let v: serde_json::Value = serde_json::from_str(body).ok()?;
+    v.get("uid")?.as_str().filter(|id| is_job_id(id)).map(str::to_owned)
+}
+
 /// Reads a body of at most `limit` bytes.
 pub fn body(reader: &mut dyn Read, limit: usize) -> Result<String, Reply> {
     let mut bytes = Vec::new();
@@ -168,6 +175,12 @@
         assert_eq!(status("GET", "/v1/jobs/wk-000001", ""), None);
         assert_eq!(status("POST", "/v1/jobs/wk-000001/withdraw", "{}"), None);
         assert_eq!(status("POST", "/v1/jobs", "{"), Some(400));
+        assert_eq!(status("POST", "/v1/jobs", r#"{"uid":"x","breed":"b"}"#), Some(400));
+        assert_eq!(
+            status("POST", "/v1/jobs", r#"{"uid":"wk-000001","breed":"b"}"#),
+            None,
+            "it may be a repeat"
+        );
         assert_eq!(status("POST", "/v1/jobs", &"x".repeat(BODY_LIMIT + 1)), Some(400));
         assert_eq!(status("POST", "/hello", "{}"), Some(400));
         assert_eq!(
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -371,7 +371,7 @@
         self.settle();
     }
 
-    /// Takes a job's record from the store. `fresh` if this process has just written it and it
+    /// Takes a job's record from the store, unless the job's end is known: an end is never taken back. `fresh` if this process has just written it and it
     /// can't have been started before.
     pub fn insert(
         &mut self,
@@ -387,6 +387,10 @@
             spec.priority += GUARANTEED;
         }
         let id = spec.id.clone();
+        // Guards against a live record that was read, or written, before the end: its answer may come after that of the end.
+        if self.finals.contains_key(&id) {
+            return;
+        }
         if let Some(j) = self.jobs.get_mut(&id) {
             j.mark = j.mark.max(mark);
             j.verify = false;
--- a/src/node.rs
+++ b/src/node.rs
@@ -129,11 +129,11 @@
     Unwitnessed(u64),
     Accept(String, u64),
     Record(String, RecordWrite),
-    Verify(String),
-    VerifyEnd(String),
-    Lookup(String),
+    Verify(String, u64),
+    VerifyEnd(String, u64),
+    Lookup(String, u64),
     Peek(String, Origin),
-    LookupEnd(String),
+    LookupEnd(String, u64),
     Roll(u64, PageWrite),
     ReadPage(u64, u32),
     Claim(ClaimWrite),
@@ -162,6 +162,10 @@
 
 struct Accepting {
     origins: Vec<Origin>,
+    /// Requests that came after it was sent to the store: by the time of the answer the job may have ended.
+    late: Vec<Origin>,
+    /// Whether it was sent to the store.
+    sent: bool,
     spec: Spec,
     raw: Value,
     wall: Micros,
@@ -175,6 +179,17 @@
     with: Option<(Key, Record, Micros)>,
 }
 
+/// A reading of a job's record that is under way.
+struct Lookup {
+    /// Tells its answer from those of earlier readings, also of an earlier epoch.
+    number: u64,
+    /// Requests that came before it began.
+    waiting: Vec<(Origin, UserRequest)>,
+    /// Requests that came since. What is being read may be older than what their users were told before they asked, so they
+    /// wait for the next reading.
+    next: Vec<(Origin, UserRequest)>,
+}
+
 /// A request passed to a peer.
 struct Asked {
     /// Who waits for the answer, if anybody does.
@@ -237,7 +252,7 @@
     own_mark: Option<u64>,
     loans: Loans,
     witness: Witness,
-    lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
+    lookups: BTreeMap<String, Lookup>,
     withdrawing: BTreeMap<String, Vec<Origin>>,
     asked: BTreeMap<u64, Asked>,
     /// Jobs accepted in place of an owner that did not answer, and when it is next told.
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -251,7 +251,11 @@
         let waiting: Vec<Origin> = std::mem::take(&mut self.withdrawing)
             .into_values()
             .flatten()
-            .chain(std::mem::take(&mut self.lookups).into_values().flatten().map(|(o, _)| o))
+            .chain(
+                std::mem::take(&mut self.lookups)
+                    .into_values()
+                    .flat_map(|l| l.waiting.into_iter().chain(l.next).map(|(o, _)| o)),
+            )
             .collect();
         for o in waiting {
             self.reply(now, o, Reply::later("the ring has changed"), out);
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -327,9 +327,8 @@
 
     /// A submission can never be taken, unless it was taken before: only the store can tell.
     pub(super) fn refuse(&mut self, id: String, why: String, out: &mut Vec<Effect>) {
-        if !self.accepting.contains_key(&id) {
-            return;
-        }
+        let Some(a) = self.accepting.get_mut(&id) else { return };
+        a.goes_out();
         let c = Commit {
             conditions: vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)],
             ..Commit::default()
@@ -356,9 +355,14 @@
     }
 
     pub(super) fn give_up(&mut self, now: Micros, id: &str, reply: Reply, out: &mut Vec<Effect>) {
-        for o in self.accepting.remove(id).map(|a| a.origins).unwrap_or_default() {
+        let Some(a) = self.accepting.remove(id) else { return };
+        for o in a.origins {
             self.reply(now, o, reply.clone(), out);
         }
+        // What was compared is older than these requests: somebody else may have accepted it since.
+        for o in a.late {
+            self.reply(now, o, Reply::later("the job could not be put on record"), out);
+        }
     }
 
     /// Puts a checked submission on record, on condition of the pacts that it joins.
@@ -380,9 +384,10 @@
         if !self.writes.take(now, cost, 0.0) {
             return self.give_up(now, &id, Reply::later("overloaded"), out);
         }
-        let Some(a) = self.accepting.get(&id) else { return };
-        let value = Owner::new_record(&a.raw, &a.spec, a.wall);
         let mut conditions = vec![self.fence(), (format!("job/{id}"), 0), (format!("done/{id}"), 0)];
+        let Some(a) = self.accepting.get_mut(&id) else { return };
+        a.goes_out();
+        let value = Owner::new_record(&a.raw, &a.spec, a.wall);
         conditions.extend(joins);
         let mut puts = vec![(format!("job/{id}"), value, None)];
         puts.extend(a.with.iter().map(|(key, record, _)| (key.head(), record.value(), None)));
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -109,7 +109,7 @@
                 // Of one that we know the latest write may be our own, and says nothing of what it had before us.
                 let unknown = !self.owner.jobs.contains_key(id);
                 self.owner.insert(raw, spec, accepted, done, row.mark, false);
-                if unknown && row.mark > self.membership.mark {
+                if unknown && self.owner.jobs.contains_key(id) && row.mark > self.membership.mark {
                     self.owner.maybe_new(self.last_round, id);
                 }
                 true
@@ -173,44 +173,44 @@
             Purpose::Loan(p) => self.loan_answer(now, p, a),
             Purpose::Accept(id, epoch) => self.accepted(now, id, epoch, a, out),
             Purpose::Record(id, w) => self.recorded(now, &id, w, a, out),
-            Purpose::Verify(id) => match a {
+            // Guards against what was read in an earlier epoch: the job may have ended since under another owner, and would
+            // live again here. Each epoch has what it keeps read anew.
+            Purpose::Verify(id, epoch) if epoch == self.membership.epoch => match a {
                 StoreAnswer::Got(Some(row)) => {
                     if let Some(j) = self.owner.jobs.get_mut(&id) {
                         j.writing = false;
+                        self.take_job_row(row);
                     }
-                    self.take_job_row(row);
                 }
                 StoreAnswer::Got(None) => {
-                    self.ask_store(
-                        Purpose::VerifyEnd(id.clone()),
-                        StoreRequest::Get(format!("done/{id}")),
-                        out,
-                    );
+                    let purpose = Purpose::VerifyEnd(id.clone(), epoch);
+                    self.ask_store(purpose, StoreRequest::Get(format!("done/{id}")), out);
                 }
                 _ => self.owner.write_failed(now, &id, false),
             },
-            Purpose::VerifyEnd(id) => match a {
+            Purpose::VerifyEnd(id, epoch) if epoch == self.membership.epoch => match a {
                 StoreAnswer::Got(Some(row)) => match read_end(&row.value) {
                     Some((f, _)) => self.end(now, &id, f, out),
                     None => tracing::error!(job = %id, "unreadable final record"),
                 },
                 _ => self.owner.write_failed(now, &id, false),
             },
-            Purpose::Lookup(id) => match a {
+            Purpose::Verify(..) | Purpose::VerifyEnd(..) => {}
+            // Guards against the answer to an earlier reading of the same job, which is older than those who wait now.
+            Purpose::Lookup(id, number) | Purpose::LookupEnd(id, number)
+                if self.lookups.get(&id).is_none_or(|l| l.number != number) => {}
+            Purpose::Lookup(id, number) => match a {
                 StoreAnswer::Got(Some(row)) => {
                     let read = self.take_job_row(row);
                     self.looked_up(now, &id, read, out);
                 }
                 StoreAnswer::Got(None) => {
-                    self.ask_store(
-                        Purpose::LookupEnd(id.clone()),
-                        StoreRequest::Get(format!("done/{id}")),
-                        out,
-                    );
+                    let purpose = Purpose::LookupEnd(id.clone(), number);
+                    self.ask_store(purpose, StoreRequest::Get(format!("done/{id}")), out);
                 }
                 _ => self.looked_up(now, &id, false, out),
             },
-            Purpose::LookupEnd(id) => match a {
+            Purpose::LookupEnd(id, _) => match a {
                 StoreAnswer::Got(row) => {
                     if let Some(row) = row {
                         match read_end(&row.value) {
@@ -329,7 +329,8 @@
             if let Some(j) = self.owner.jobs.get_mut(&id) {
                 j.writing = true;
             }
-            self.ask_store(Purpose::Verify(id.clone()), StoreRequest::Get(format!("job/{id}")), out);
+            let purpose = Purpose::Verify(id.clone(), self.membership.epoch);
+            self.ask_store(purpose, StoreRequest::Get(format!("job/{id}")), out);
         }
         // The budget holds a second's worth and no more. It is kept nearly full, which costs no
         // throughput, so that a submission that comes now is not turned away.
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -92,7 +92,7 @@
         out: &mut Vec<Effect>,
     ) -> bool {
         if let Some(a) = self.accepting.get_mut(id) {
-            a.origins.push(from);
+            a.join(from);
             return true;
         }
         if !self.membership.may_act(now) || self.fleet.types.is_empty() || self.writes.level(now) < 0.2 {
@@ -100,7 +100,7 @@
         }
         let raw: Value = serde_json::from_str(body).unwrap_or(Value::Null);
         let Ok(spec) = Spec::from_value(&raw) else { return false };
-        if spec.check(&self.fleet.types, &self.settings.teams).is_err() || self.not_yet(&spec).is_some() {
+        if self.never(&raw, &spec).is_some() || self.not_yet(&spec).is_some() {
             return false;
         }
         if let Some(reply) = self.accept(now, from, id.to_owned(), spec, raw, out) {
@@ -203,37 +203,71 @@
         }
         if let UserRequest::Submit(_, body) = &r {
             if let Some(a) = self.accepting.get_mut(&id) {
-                a.origins.push(from);
+                a.join(from);
                 return None;
             }
             let raw: Value = serde_json::from_str(body).unwrap_or(Value::Null);
-            let spec = match Spec::from_value(&raw) {
-                Ok(s) => s,
-                Err(e) => return Some(Reply::error(400, &e.to_string())),
-            };
-            if self.fleet.types.is_empty() {
-                return Some(Reply::later("machine types are not known yet"));
-            }
-            let open = self.not_yet(&spec).is_none();
-            if open && spec.check(&self.fleet.types, &self.settings.teams).is_ok() {
-                return self.accept(now, from, id, spec, raw, out);
+            // One that can't be taken may still repeat a job that was: its record is read before it is turned down.
+            if let Ok(spec) = Spec::from_value(&raw) {
+                if self.fleet.types.is_empty() {
+                    return Some(Reply::later("machine types are not known yet"));
+                }
+                let open = self.not_yet(&spec).is_none();
+                if open && self.never(&raw, &spec).is_none() {
+                    return self.accept(now, from, id, spec, raw, out);
+                }
             }
         } else if self.accepting.contains_key(&id) {
             return Some(Reply::later("being accepted"));
         }
         // Unknown here: only the store can tell whether it was ever accepted.
-        if let Some(l) = self.lookups.get_mut(&id) {
-            l.push((from, r));
-            return None;
+        self.look_up(now, &id, vec![(from, r)], out);
+        None
+    }
+
+    /// Has the record of a job that isn't known here read for these requests, by a reading that begins now or later.
+    fn look_up(&mut self, now: Micros, id: &str, waiting: Vec<(Origin, UserRequest)>, out: &mut Vec<Effect>) {
+        if waiting.is_empty() {
+            return;
         }
-        if self.lookups.len() >= WAITING_LIMIT || !self.requests.take(now, 2.0, 0.3) {
-            return Some(Reply::later("overloaded"));
+        let full = self.lookups.len() >= WAITING_LIMIT;
+        if let Some(l) = self.lookups.get_mut(id)
+            && l.next.len() < WAITING_LIMIT
+        {
+            return l.next.extend(waiting);
+        }
+        if full || self.lookups.contains_key(id) || !self.requests.take(now, 2.0, 0.3) {
+            for (o, _) in waiting {
+                self.reply(now, o, Reply::later("overloaded"), out);
+            }
+            return;
+        }
+        let number = self.fresh_id();
+        self.lookups.insert(id.to_owned(), Lookup { number, waiting, next: Vec::new() });
+        self.ask_store(Purpose::Lookup(id.to_owned(), number), StoreRequest::Get(format!("job/{id}")), out);
+    }
+
+    /// Why a job can never run here, if so. Nobody is told before its record was looked for: a repeated submission may have
+    /// another body than the first, which was taken.
+    fn never(&self, raw: &Value, spec: &Spec) -> Option<String> {
+        if let Err(e) = spec.check(&self.fleet.types, &self.settings.teams) {
+            return Some(e.to_string());
+        }
+        let limit = self.settings.value_bytes;
+        // The night is filled in later.
+        let night = if spec.release.as_ref().is_some_and(|r| r.night.is_none()) { 32 } else { 0 };
+        if Owner::longest(&trimmed(raw, spec), spec, self.wall) + night > limit {
+            return Some(format!(
+                "the description is too long to be kept: its record may have {limit} bytes"
+            ));
+        }
+        if spec.follows.len() > follow::MOST {
+            return Some(format!("follows: a job may name {} others at most", follow::MOST));
         }
-        self.lookups.insert(id.clone(), vec![(from, r)]);
-        self.ask_store(Purpose::Lookup(id.clone()), StoreRequest::Get(format!("job/{id}")), out);
         None
     }
 
+    /// Begins to put a job on record that can run, as far as [`Node::never`] tells.
     pub(super) fn accept(
         &mut self,
         now: Micros,
@@ -246,17 +280,6 @@
         let wall = self.wall;
         // A body with superfluous fields must not make a record that the store won't take.
         let raw = trimmed(&raw, &spec);
-        let limit = self.settings.value_bytes;
-        // The night is filled in later.
-        let night = if spec.release.as_ref().is_some_and(|r| r.night.is_none()) { 32 } else { 0 };
-        if Owner::longest(&raw, &spec, wall) + night > limit {
-            let why = format!("the description is too long to be kept: its record may have {limit} bytes");
-            return Some(Reply::error(422, &why));
-        }
-        if spec.follows.len() > follow::MOST {
-            let why = format!("follows: a job may name {} others at most", follow::MOST);
-            return Some(Reply::error(422, &why));
-        }
         if self.accepting.len() >= WAITING_LIMIT {
             return Some(Reply::later("overloaded"));
         }
@@ -266,7 +289,18 @@
         };
         self.accepting.insert(
             id.clone(),
-            Accepting { origins: vec![from], spec, raw, wall, unknown, began: now, since: now, with: None },
+            Accepting {
+                origins: vec![from],
+                late: Vec::new(),
+                sent: false,
+                spec,
+                raw,
+                wall,
+                unknown,
+                began: now,
+                since: now,
+                with: None,
+            },
         );
         self.put_on_record(now, id, out);
         None
@@ -295,40 +329,76 @@
                         self.witness.stood_in(&id, &self.standing_in);
                     }
                 } else {
-                    // Written under an epoch that has passed, it may have been another's since.
-                    let fresh = epoch == self.membership.epoch;
-                    if fresh || !self.owner.loaded {
-                        self.owner.insert(acc.raw, acc.spec, acc.wall, Ranges::default(), mark, fresh);
+                    // Written under an epoch that has passed, it may have been another's since, and have ended: what lives
+                    // is among the records that are read in this one.
+                    if epoch == self.membership.epoch {
+                        self.owner.insert(acc.raw.clone(), acc.spec, acc.wall, Ranges::default(), mark, true);
                     }
                 }
+                // The end may have been told meanwhile: the record can be read before the answer to its write is here.
+                let ended = self.owner.final_of(&id).and_then(|_| self.known(&id));
+                let reply =
+                    ended.unwrap_or_else(|| Reply::json(201, &json!({"uid": id, "stance": "pending"})));
                 for o in acc.origins {
-                    self.reply(now, o, Reply::json(201, &json!({"uid": id, "stance": "pending"})), out);
+                    self.reply(now, o, reply.clone(), out);
                 }
+                self.answer_as_known(now, &id, &acc.raw, acc.late, out);
             }
-            StoreAnswer::Conflict(keys)
-                if !keys.iter().any(|k| k == EPOCH_KEY) && self.answers_for(now, &id) =>
-            {
-                // It was accepted before; the store tells how it stands.
-                let waiting = acc.origins.into_iter().map(|o| (o, UserRequest::Query(id.clone())));
-                self.lookups.entry(id.clone()).or_default().extend(waiting);
-                self.ask_store(Purpose::Lookup(id.clone()), StoreRequest::Get(format!("job/{id}")), out);
-            }
-            // It was accepted before, and its owner doesn't answer: the record does.
+            // It was accepted before.
             StoreAnswer::Conflict(keys) if !keys.iter().any(|k| k == EPOCH_KEY) => {
-                for o in acc.origins {
-                    if !self.peek(now, o, &id, out) {
-                        self.reply(now, o, Reply::later("the job could not be put on record"), out);
-                    }
-                }
+                let waiting = acc.origins.into_iter().chain(acc.late).collect();
+                self.answer_as_known(now, &id, &acc.raw, waiting, out);
             }
             _ => {
-                for o in acc.origins {
+                for o in acc.origins.into_iter().chain(acc.late) {
                     self.reply(now, o, Reply::later("the job could not be put on record"), out);
                 }
             }
         }
     }
 
+    /// Answers repeated submissions of a job that is on record by how it stands now: by the owner's word, or, where the owner
+    /// does not answer, by the record.
+    fn answer_as_known(
+        &mut self,
+        now: Micros,
+        id: &str,
+        raw: &Value,
+        from: Vec<Origin>,
+        out: &mut Vec<Effect>,
+    ) {
+        if from.is_empty() {
+            return;
+        }
+        if self.answers_for(now, id) {
+            let body = raw.to_string();
+            let again = |o| (o, UserRequest::Submit(id.to_owned(), body.clone()));
+            return self.answer_or_look_up(now, id, from.into_iter().map(again).collect(), out);
+        }
+        for o in from {
+            if !self.peek(now, o, id, out) {
+                self.reply(now, o, Reply::later("the job could not be put on record"), out);
+            }
+        }
+    }
+
+    fn answer_or_look_up(
+        &mut self,
+        now: Micros,
+        id: &str,
+        asked: Vec<(Origin, UserRequest)>,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.owner.jobs.contains_key(id) && self.owner.final_of(id).is_none() {
+            return self.look_up(now, id, asked, out);
+        }
+        for (o, r) in asked {
+            if let Some(reply) = self.own_request(now, o, r, out) {
+                self.reply(now, o, reply, out);
+            }
+        }
+    }
+
     pub(super) fn end(&mut self, now: Micros, id: &str, f: Final, out: &mut Vec<Effect>) {
         self.owner.ended(id, f);
         for o in self.withdrawing.remove(id).unwrap_or_default() {
@@ -338,7 +408,8 @@
 
     /// The store was asked about a job; `read` tells whether it answered.
     pub(super) fn looked_up(&mut self, now: Micros, id: &str, read: bool, out: &mut Vec<Effect>) {
-        for (o, r) in self.lookups.remove(id).unwrap_or_default() {
+        let Some(l) = self.lookups.remove(id) else { return };
+        for (o, r) in l.waiting {
             if !read {
                 self.reply(now, o, Reply::later("the job's record could not be read"), out);
             } else if self.owner.jobs.contains_key(id) || self.owner.final_of(id).is_some() {
@@ -348,13 +419,13 @@
             } else {
                 let reply = match r {
                     UserRequest::Submit(_, body) => {
-                        let spec = Spec::parse(&body);
-                        let check =
-                            spec.and_then(|s| s.check(&self.fleet.types, &self.settings.teams).map(|()| s));
-                        match check.map(|s| self.not_yet(&s)) {
-                            Err(e) => Reply::error(422, &e.to_string()),
-                            Ok(Some(not_yet)) => not_yet,
-                            Ok(None) => Reply::later("machine types have changed"),
+                        let raw = serde_json::from_str(&body).unwrap_or(Value::Null);
+                        match Spec::from_value(&raw).map(|s| (self.never(&raw, &s), s)) {
+                            Err(e) => Reply::error(e.status(), &e.to_string()),
+                            Ok((Some(why), _)) => Reply::error(422, &why),
+                            Ok((None, s)) => {
+                                self.not_yet(&s).unwrap_or_else(|| Reply::later("machine types have changed"))
+                            }
                         }
                     }
                     _ => Reply::error(404, "no such job"),
@@ -362,6 +433,7 @@
                 self.reply(now, o, reply, out);
             }
         }
+        self.answer_or_look_up(now, id, l.next, out);
     }
 
     /// Requests passed to a peer that has not answered: a submission is taken in its place, others are
@@ -421,5 +493,19 @@
     }
 }
 
+impl Accepting {
+    /// It is sent to the store now: all requests so far came before.
+    pub(super) fn goes_out(&mut self) {
+        self.sent = true;
+        self.origins.append(&mut self.late);
+    }
+
+    /// Another submission of the same job. Guards against an answer that is older than what its user was told before asking:
+    /// while the store's answer is on its way the job may be ended through another controller.
+    fn join(&mut self, from: Origin) {
+        if self.sent { self.late.push(from) } else { self.origins.push(from) }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/spec.rs
+++ b/src/spec.rs
@@ -150,6 +150,16 @@
     Impossible(String),
 }
 
+impl SpecError {
+    /// The protocol's status for it: 400 if it is malformed, 422 if it can never run.
+    pub fn status(&self) -> u16 {
+        match self {
+            SpecError::Field(..) | SpecError::Member(_) | SpecError::Body(_) => 400,
+            SpecError::Impossible(_) => 422,
+        }
+    }
+}
+
 /// Whether this is a job id.
 pub fn is_job_id(id: &str) -> bool {
     id.strip_prefix("wk-")
