World: a test that asks through a passing controller asks on a network without slow messages

the_others_serve_while_one_process_ends_again_and_again asked for 200 at the first question. The answer is still asked for at once, while no message is slow.

--- a/tests/world/days/restarts.rs
+++ b/tests/world/days/restarts.rs
@@ -73,10 +73,13 @@
             let known = |j: &&UserJob| j.known != Known::Nothing;
             let some: Vec<String> =
                 w.jobs.values().filter(known).map(|j| j.spec.id.clone()).take(9).collect();
+            // A question and an answer that both take 0.3 s are given up after 0.6 s: that is the network's doing.
+            w.prompt = true;
             for id in some {
                 let r = w.ask(n, UserRequest::Query(id));
                 assert_eq!(r.status, 200, "{}", r.body);
             }
+            w.prompt = false;
             w.run(0, 190 * S);
             let at = w.clock(n);
             assert!(w.nodes[n].as_ref().is_some_and(|x| x.membership.may_act(at)), "held back for ever");
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -145,6 +145,8 @@
     /// Open watches: controller, process, request, prefix, revision and when they time out.
     pub(crate) watches: Vec<(usize, u64, u64, String, u64, u64)>,
     pub(crate) outage_until: u64,
+    /// No message takes longer than usual, but for cuts.
+    pub(crate) prompt: bool,
     pub(crate) cuts: Vec<(End, End, u64, bool)>,
     pub(crate) workers: Vec<Worker>,
     pub(crate) rentals: BTreeMap<String, Vec<String>>,
@@ -205,6 +207,7 @@
             store: State::sized(5, (100, 4), LIMITS),
             watches: Vec::new(),
             outage_until: 0,
+            prompt: false,
             cuts: Vec::new(),
             workers: Vec::new(),
             rentals: BTreeMap::new(),
