--- a/tests/world/days/gap.rs
+++ b/tests/world/days/gap.rs
@@ -173,3 +173,18 @@
 fn who_rents_is_refused_then_everybody_and_cancelled_jobs_end_in_time() {
     in_all_ways(ROLES[3], 20_302);
 }
+
+/// Users cancel at the very moment at which the one is refused; a second later nobody reaches the state service any more.
+#[test]
+fn jobs_are_cancelled_as_one_is_refused_and_a_second_later_all_are() {
+    let mut confirmed = [0; 3];
+    for (k, role) in ROLES.into_iter().enumerate() {
+        for (h, hearing) in
+            [Hearing::BothWays, Hearing::NotAtAll, Hearing::Late(2 * S)].into_iter().enumerate()
+        {
+            let o = gap_day(121_900 + (3 * k + h) as u64, role, hearing, 1);
+            confirmed.iter_mut().zip(o.confirmed).for_each(|(all, n)| *all += n);
+        }
+    }
+    assert!(confirmed[1] >= 6 && confirmed[2] >= 3, "confirmed in that second: {confirmed:?}");
+}
