World: a job as one linearizable register

Cause: what a user was told by one controller did not bound what another one answered to the next request: pollers of one job and its user were each held to their own order only, answers that the user waited for no more and those to tests were dropped, and submissions went past the HTTP edge.

Change: each submission, question and cancellation has a start (when it is sent) and an answer (when the user has it). An answer that was had before a request was sent bounds what that request may be answered: no 404, 400 or 422 after an acceptance, no live state and no other end after an end. Never two ends; nothing that nobody offered; no end by cancellation that nobody asked for. Submissions pass the edge (src/api.rs) as they do in the daemon. A job's record that was put must be of its user's description.

--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -7,6 +7,7 @@
 mod loans;
 mod pairs;
 mod plain;
+mod register;
 mod releases;
 mod restarts;
 mod rough;
--- /dev/null
+++ b/tests/world/days/register.rs
@@ -0,0 +1,64 @@
+//! The register of a job fails when it should, and only then.
+
+use crate::*;
+
+/// The register names each answer that is older than what was known when it was asked for, and none other.
+#[test]
+fn the_register_tells_older_answers_from_late_ones() {
+    let job = |status: u16, stance: &str| {
+        Reply::json(status, &json!({"uid": "wk-000001", "stance": stance, "done": 0, "running": 0}))
+    };
+    let none = Reply::error(404, "no such job");
+    let query = || UserRequest::Query("wk-000001".into());
+    // Known first, asked for before or after that, answered with; and the rule that breaks.
+    let cases = [
+        (job(201, "pending"), none.clone(), "forgotten"),
+        (job(200, "running"), Reply::error(400, "strides: is missing"), "forgotten"),
+        (job(201, "pending"), Reply::error(422, "never"), "forgotten"),
+        (job(200, "aborted"), job(200, "pending"), "went_back"),
+        (job(200, "aborted"), job(201, "pending"), "went_back"),
+        (job(200, "aborted"), none, "forgotten"),
+    ];
+    for (known, then, rule) in cases {
+        for late in [false, true] {
+            let mut w = World::new(1, Shape { jobs: 0, ..SMALL });
+            let body = json!({"uid": "wk-000001", "breed": "x", "herd": "t1", "gait": "batch", "rank": "idle",
+                "strides": 1, "vcpus": 1.0, "cards": 0, "ramGb": 1.0, "tack": "img", "imageGb": 1.0,
+                "together": false, "scatter": false, "borrowed": false, "rideS": 1.0, "restS": 0.0,
+                "unsaddleS": 0.0});
+            w.note_sent(1, 0, &UserRequest::Submit("wk-000001".into(), body.to_string()));
+            w.note_sent(2, 1, &UserRequest::Withdraw("wk-000001".into()));
+            if late {
+                w.note_sent(4, 2, &query());
+            }
+            w.note_sent(3, 1, &query());
+            w.answered(3, &known);
+            if !late {
+                w.note_sent(4, 2, &query());
+            }
+            let said = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| w.answered(4, &then)));
+            match said {
+                Ok(()) => assert!(late, "{known:?}, then {then:?}"),
+                Err(e) => {
+                    let text = e.downcast_ref::<String>().expect("a message");
+                    assert!(!late && text.contains(rule), "{text}");
+                }
+            }
+        }
+    }
+}
+
+/// Two ends of one job are never both right, whenever they were asked for.
+#[test]
+#[should_panic(expected = "two ends")]
+fn the_register_takes_one_end_only() {
+    let mut w = World::new(1, Shape { jobs: 0, ..SMALL });
+    let body = json!({"uid": "wk-000001", "breed": "x", "herd": "t1", "gait": "batch", "rank": "idle",
+        "strides": 1, "vcpus": 1.0, "cards": 0, "ramGb": 1.0, "tack": "img", "imageGb": 1.0, "together": false,
+        "scatter": false, "borrowed": false, "rideS": 1.0, "restS": 0.0, "unsaddleS": 0.0});
+    w.note_sent(1, 0, &UserRequest::Submit("wk-000001".into(), body.to_string()));
+    w.note_sent(2, 1, &UserRequest::Withdraw("wk-000001".into()));
+    w.note_sent(3, 2, &UserRequest::Query("wk-000001".into()));
+    w.answered(2, &Reply::json(200, &json!({"uid": "wk-000001", "stance": "aborted"})));
+    w.answered(3, &Reply::json(200, &json!({"uid": "wk-000001", "stance": "done", "done": 1, "running": 0})));
+}
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -21,6 +21,7 @@
 mod net;
 mod outside;
 mod parts;
+mod register;
 mod rules;
 mod shape;
 mod silence;
@@ -30,6 +31,7 @@
 
 pub(crate) use compound::*;
 pub(crate) use parts::*;
+pub(crate) use register::*;
 pub(crate) use shape::*;
 pub(crate) use silence::*;
 pub(crate) use troubles::*;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -4,6 +4,9 @@
 
 impl World {
     pub(crate) fn later(&mut self, delay: u64, what: What) {
+        if let What::Node(n, _, Event::User(ticket, request)) = &what {
+            self.note_sent(*ticket, *n, request);
+        }
         self.serial += 1;
         self.queue.insert((self.now + delay.max(1), self.serial), what);
     }
@@ -87,10 +90,12 @@
                 Some(Ticket::Writer(q)) => self.writer_told(&q, &reply),
                 Some(Ticket::Asked) => {
                     self.note_told(n, &reply);
+                    self.answered(t, &reply);
                     self.answers.insert(t, reply);
                 }
                 Some(Ticket::Poll(id, n, asked)) => {
                     self.note_told(n, &reply);
+                    self.answered(t, &reply);
                     self.polled(&id, n, asked, &reply);
                 }
                 Some(Ticket::Probe(n)) => self.balancer.told(self.now, n, reply.status == 200),
@@ -172,7 +177,9 @@
     pub(crate) fn happen(&mut self, what: What) {
         match what {
             What::Node(n, boot, e) => {
-                if boot == 0 || boot == self.boots[n] {
+                if (boot == 0 || boot == self.boots[n])
+                    && let Some(e) = self.at_edge(n, e)
+                {
                     self.drive(n, e);
                 }
             }
@@ -210,10 +217,13 @@
             What::Back(n) => self.start(n),
             What::WorkerAnswer(w, seq, reply) => self.worker_answer(w, seq, &reply),
             What::UserAnswer(t, reply) => {
-                if let Some(Ticket::User(id, kind)) = self.tickets.remove(&t)
-                    && self.jobs.get(&id).is_none_or(|j| j.latest == t)
-                {
-                    self.user_answer(&id, kind, &reply);
+                // Also an answer that its user waits for no more was given.
+                self.answered(t, &reply);
+                match self.tickets.remove(&t) {
+                    Some(Ticket::User(id, kind)) if self.jobs.get(&id).is_none_or(|j| j.latest == t) => {
+                        self.user_answer(&id, kind, &reply);
+                    }
+                    _ => {}
                 }
             }
         }
--- a/tests/world/outside.rs
+++ b/tests/world/outside.rs
@@ -99,7 +99,14 @@
             !matches!(r, StoreRequest::Watch(..)),
             "watches are answered when there is something to tell"
         );
+        let put: Vec<String> = match &r {
+            StoreRequest::Commit(c) => c.puts.iter().map(|p| p.0.clone()).collect(),
+            _ => Vec::new(),
+        };
         let a = self.store.apply(self.now, r);
+        if matches!(a, StoreAnswer::Committed(_)) {
+            put.iter().for_each(|key| self.vet_record(key));
+        }
         self.watch_batches();
         a
     }
--- /dev/null
+++ b/tests/world/register.rs
@@ -0,0 +1,188 @@
+//! A job as one linearizable register. What a user was told by any controller before a request was sent bounds what any
+//! controller may answer to it: unknown, then accepted, then cancelled or done, whichever it is, for ever. No answer, and
+//! "later", say nothing of a job.
+
+use super::*;
+use hazelsaddle::api::{self, Parsed};
+use hazelsaddle::settings::TeamSettings;
+use hazelsaddle::spec::Types;
+
+/// A request under way.
+#[derive(Clone, Debug)]
+struct Open {
+    job: String,
+    kind: char,
+    node: usize,
+    /// Its place in the order of all requests sent and answers had, and when that was.
+    from: u64,
+    at: u64,
+}
+
+/// What somebody was told, by whom, and when.
+#[derive(Clone, Debug)]
+struct Said {
+    stance: String,
+    by: usize,
+    order: u64,
+    at: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Cell {
+    /// Somebody has sent a submission that may be accepted; a cancellation.
+    offered: bool,
+    withdrawn: bool,
+    accepted: Option<Said>,
+    end: Option<Said>,
+}
+
+#[derive(Default)]
+pub(crate) struct Register {
+    order: u64,
+    open: BTreeMap<u64, Open>,
+    cells: BTreeMap<String, Cell>,
+    limits: Option<(Types, Vec<TeamSettings>)>,
+    /// Answers that say how a job stands; those to requests sent when somebody knew that it is accepted; or its end.
+    pub(crate) answers: usize,
+    pub(crate) bound: [usize; 2],
+    /// Requests sent while the same controller had another one about the same job.
+    pub(crate) beside: usize,
+}
+
+impl World {
+    /// A user sends a request. One that the controller takes later since it stands still was sent before.
+    pub(crate) fn note_sent(&mut self, ticket: u64, node: usize, request: &UserRequest) {
+        let kind = match request {
+            UserRequest::Submit(..) => 's',
+            UserRequest::Query(_) => 'q',
+            UserRequest::Withdraw(_) => 'w',
+            UserRequest::Why(_) | UserRequest::Permit(..) => return,
+        };
+        if self.register.open.contains_key(&ticket) {
+            return;
+        }
+        let job = request.job().to_owned();
+        let sound = matches!(request, UserRequest::Submit(_, body) if self.may_run(body));
+        let r = &mut self.register;
+        r.order += 1;
+        let (from, at) = (r.order, self.now);
+        let waits = |o: &Open| o.node == node && o.job == job && at < o.at + 5 * S;
+        r.beside += usize::from(r.open.values().any(waits));
+        let cell = r.cells.entry(job.clone()).or_default();
+        cell.offered |= sound;
+        cell.withdrawn |= kind == 'w';
+        r.open.insert(ticket, Open { job, kind, node, from, at });
+    }
+
+    /// Whether a description has all fields, and fits a machine and its team.
+    pub(crate) fn may_run(&mut self, body: &str) -> bool {
+        let shape = self.shape;
+        let (types, teams) = self.register.limits.get_or_insert_with(|| {
+            let types = types(shape).into_iter().map(|t| (t.name.clone(), t)).collect();
+            (types, settings(0, shape, false).teams)
+        });
+        Spec::parse(body).is_ok_and(|s| s.check(types, teams).is_ok())
+    }
+
+    /// What comes of a request at the controller's HTTP edge: it goes on, or is answered there.
+    pub(crate) fn at_edge(&mut self, n: usize, event: Event) -> Option<Event> {
+        let (ticket, body) = match &event {
+            Event::User(ticket, UserRequest::Submit(_, body)) => (*ticket, body.clone()),
+            _ => return Some(event),
+        };
+        if self.nodes[n].is_none() || self.now < self.hung[n] {
+            return Some(event);
+        }
+        match api::parse(ticket, "POST", "/v1/jobs", |_| Ok(body)) {
+            Parsed::Event(e) => Some(e),
+            Parsed::Answer(reply) => {
+                self.effect(n, Effect::Reply(ticket, reply));
+                None
+            }
+        }
+    }
+
+    /// A user has an answer.
+    pub(crate) fn answered(&mut self, ticket: u64, reply: &Reply) {
+        let Some(open) = self.register.open.remove(&ticket) else { return };
+        let id = &open.job;
+        let cell = self.register.cells.get(id).cloned().unwrap_or_default();
+        // What somebody knew before this request was sent.
+        let before = |s: &Option<Said>| s.clone().filter(|s| s.order < open.from);
+        let (accepted, end) = (before(&cell.accepted), before(&cell.end));
+        let now = self.now;
+        let Open { kind, node, at, .. } = &open;
+        let said =
+            [&accepted, &end].into_iter().flatten().map(|s| format!("{} by {} at {}", s.stance, s.by, s.at));
+        let said: Vec<String> = said.collect();
+        let context = format!(
+            "at {now}: {} {}, to {kind} sent to {node} at {at}; told before: {said:?}",
+            reply.status, reply.body
+        );
+        for (count, known) in self.register.bound.iter_mut().zip([&accepted, &end]) {
+            *count += usize::from(known.is_some() && matches!(reply.status, 200 | 201 | 400 | 404 | 422));
+        }
+        match reply.status {
+            400 | 404 | 422 => {
+                self.register.answers += 1;
+                assert!(accepted.is_none() && end.is_none(), "forgotten: {id} {context}");
+                return;
+            }
+            200 | 201 => {}
+            // Nothing is said of the job.
+            _ => return,
+        }
+        self.register.answers += 1;
+        assert!(cell.offered, "invented: {id} {context}");
+        let body: Value = serde_json::from_str(&reply.body).expect("JSON");
+        assert_eq!(body["uid"], **id, "an answer to another question {context}");
+        let stance = body["stance"].as_str().expect("a stance").to_owned();
+        let ends = stance == "done" || stance == "aborted";
+        assert!(ends || open.kind != 'w', "a withdrawal is answered with the end {context}");
+        assert!(ends || stance == "pending" || stance == "running", "a stance {context}");
+        assert!(end.is_none_or(|e| e.stance == stance), "went_back: {id} {context}");
+        if ends {
+            let other = cell.end.as_ref().filter(|e| e.stance != stance);
+            assert!(other.is_none(), "went_back: {id} has two ends, {other:?} {context}");
+            let whole = self.jobs.get(id).is_none_or(|j| j.done.len() == j.spec.tasks as usize);
+            assert!(stance != "done" || whole, "not_done: {id} {context}");
+            let called_off = cell.withdrawn || self.follows_withdrawn(id);
+            assert!(stance != "aborted" || called_off, "went_back: {id} cancelled by nobody {context}");
+        }
+        let r = &mut self.register;
+        r.order += 1;
+        let said = Said { stance, by: open.node, order: r.order, at: now };
+        let cell = r.cells.entry(id.clone()).or_default();
+        if ends {
+            cell.end.get_or_insert(said.clone());
+        }
+        cell.accepted.get_or_insert(said);
+    }
+
+    /// Whether somebody asked to cancel a job that this one needs.
+    fn follows_withdrawn(&self, id: &str) -> bool {
+        let (mut seen, mut next) = (BTreeSet::new(), vec![id]);
+        while let Some(id) = next.pop() {
+            for p in self.jobs.get(id).into_iter().flat_map(|j| &j.spec.follows) {
+                if self.register.cells.get(p).is_some_and(|c| c.withdrawn) {
+                    return true;
+                }
+                if seen.insert(p) {
+                    next.push(p);
+                }
+            }
+        }
+        false
+    }
+
+    /// Looks at each record of a job that was put: it must be of the description that its user submitted.
+    pub(crate) fn vet_record(&self, key: &str) {
+        let Some(id) = key.strip_prefix("job/") else { return };
+        let Some(j) = self.jobs.get(id) else { return };
+        let kept = &self.store.keys[key].0["spec"];
+        let wants: Value = serde_json::from_str(&j.body).expect("JSON");
+        for field in ["strides", "vcpus", "herd", "gait"] {
+            assert_eq!(kept[field], wants[field], "{field} of {id} is of another submission");
+        }
+    }
+}
