--- a/tests/world/compound.rs
+++ b/tests/world/compound.rs
@@ -47,9 +47,12 @@
     MachinesHang,
     MachinesDie,
     MachinesTakenBack,
+    CloseLooks,
+    CancelAtEnd,
+    OddRequests,
 }
 
-pub(crate) const TROUBLES: [Trouble; 20] = [
+pub(crate) const TROUBLES: [Trouble; 23] = [
     Trouble::Restart,
     Trouble::RestartAll,
     Trouble::Leave,
@@ -70,6 +73,9 @@
     Trouble::MachinesHang,
     Trouble::MachinesDie,
     Trouble::MachinesTakenBack,
+    Trouble::CloseLooks,
+    Trouble::CancelAtEnd,
+    Trouble::OddRequests,
 ];
 
 /// A user was told that a job is cancelled.
@@ -91,6 +97,8 @@
     late_reports: (f64, u64),
     pub(crate) refused: [u64; 3],
     slow: u64,
+    /// How long answers of a slow state service take; 1 to 5 s if not said.
+    slow_by: Option<std::ops::Range<u64>>,
     pub(crate) ways: Vec<Way>,
     /// When the latest transaction of each controller was carried out.
     committed: [u64; 3],
@@ -151,7 +159,12 @@
 
     /// The state service answers after 1 to 5 s; its clients wait for 2 s.
     pub(crate) fn slow_store(&mut self, long: u64) {
-        self.compound.slow = self.now + long;
+        (self.compound.slow, self.compound.slow_by) = (self.now + long, None);
+    }
+
+    /// It answers after times in that range, each request for itself: in another order than it was asked.
+    pub(crate) fn slow_store_by(&mut self, long: u64, by: std::ops::Range<u64>) {
+        (self.compound.slow, self.compound.slow_by) = (self.now + long, Some(by));
     }
 
     /// One controller loses the state service and its peers, not its workers or users.
@@ -200,7 +213,7 @@
             return unknown(self);
         }
         let slow = match self.now < self.compound.slow {
-            true => self.rng.random_range(S..5 * S),
+            true => self.rng.random_range(self.compound.slow_by.clone().unwrap_or(S..5 * S)),
             false => 0,
         };
         // What takes longer than the client waits is answered as unknown, and applied late.
@@ -356,6 +369,12 @@
                 self.workers[i].gone = true;
                 self.workers[i].tasks.clear();
             }
+            Trouble::CloseLooks => self.close_looks(long),
+            Trouble::CancelAtEnd => {
+                let share = self.rng.random_range(0.2..0.8);
+                self.cancel_at_end(share, long);
+            }
+            Trouble::OddRequests => self.odd_requests(long),
         }
     }
 
@@ -383,7 +402,7 @@
     /// When nothing of all this lasts any more.
     pub(crate) fn over_at(&self) -> u64 {
         let c = &self.compound;
-        let ends = [self.outage_until, c.late_writes.1, c.late_reports.1, c.slow];
+        let ends = [self.outage_until, c.late_writes.1, c.late_reports.1, c.slow, self.looks.over_at()];
         let ends = ends.into_iter().chain(c.refused).chain(self.hung.iter().copied());
         let ends = ends.chain(c.ways.iter().map(|w| w.until)).chain(self.cuts.iter().map(|c| c.2));
         ends.chain(self.workers.iter().map(|w| w.deaf_until)).filter(|&t| t < NEVER).max().unwrap_or(0)
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -5,6 +5,7 @@
 mod compound;
 mod gap;
 mod loans;
+mod looks;
 mod pairs;
 mod plain;
 mod register;
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -18,6 +18,7 @@
 mod batches;
 mod compound;
 mod days;
+mod looks;
 mod net;
 mod outside;
 mod parts;
@@ -30,6 +31,7 @@
 mod workers;
 
 pub(crate) use compound::*;
+pub(crate) use looks::*;
 pub(crate) use parts::*;
 pub(crate) use register::*;
 pub(crate) use shape::*;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -77,6 +77,11 @@
         let boot = self.boots[n];
         match e {
             Effect::Reply(t, reply) => match self.tickets.remove(&t) {
+                Some(ticket @ Ticket::Look(_)) => {
+                    self.note_told(n, &reply);
+                    self.tickets.insert(t, ticket);
+                    self.later(1000, What::UserAnswer(t, reply));
+                }
                 Some(Ticket::Worker(w, seq)) => {
                     if let Some(d) = self.travel(End::Node(n), End::Workers) {
                         self.later(d, What::WorkerAnswer(w, seq, reply));
@@ -223,9 +228,11 @@
                     Some(Ticket::User(id, kind)) if self.jobs.get(&id).is_none_or(|j| j.latest == t) => {
                         self.user_answer(&id, kind, &reply);
                     }
+                    Some(Ticket::Look(look)) => self.look_answer(&look, &reply),
                     _ => {}
                 }
             }
+            What::Look(look) => self.send_look(look),
         }
     }
 }
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -62,6 +62,8 @@
     Greet(usize, u64, u64, Greeting),
     WorkerAnswer(usize, u64, Reply),
     UserAnswer(u64, Reply),
+    /// A user who looks closely sends a request.
+    Look(Look),
     /// A controller's process starts, unless it did before.
     Back(usize),
 }
@@ -104,6 +106,8 @@
     Writer(batches::Question),
     /// A test asks.
     Asked,
+    /// A user looks closely.
+    Look(Look),
     /// Somebody polls a job through a controller, since when.
     Poll(String, usize, u64),
     /// The load balancer asks whether a controller is ready.
@@ -177,6 +181,7 @@
     pub(crate) lacks: BTreeMap<(String, u64), u64>,
     pub(crate) compound: Compound,
     pub(crate) register: Register,
+    pub(crate) looks: Looks,
     pub(crate) log: Vec<String>,
 }
 
@@ -228,6 +233,7 @@
             lacks: BTreeMap::new(),
             compound: Compound::default(),
             register: Register::default(),
+            looks: Looks::default(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
--- a/tests/world/register.rs
+++ b/tests/world/register.rs
@@ -49,6 +49,13 @@
     pub(crate) beside: usize,
 }
 
+impl Register {
+    /// Whether a user has been told that the job is accepted; its end.
+    pub(crate) fn knows(&self, job: &str) -> (bool, bool) {
+        self.cells.get(job).map_or((false, false), |c| (c.accepted.is_some(), c.end.is_some()))
+    }
+}
+
 impl World {
     /// A user sends a request. One that the controller takes later since it stands still was sent before.
     pub(crate) fn note_sent(&mut self, ticket: u64, node: usize, request: &UserRequest) {
@@ -71,7 +78,10 @@
         let cell = r.cells.entry(job.clone()).or_default();
         cell.offered |= sound;
         cell.withdrawn |= kind == 'w';
-        r.open.insert(ticket, Open { job, kind, node, from, at });
+        r.open.insert(ticket, Open { job: job.clone(), kind, node, from, at });
+        if kind != 'q' && !matches!(self.tickets.get(&ticket), Some(Ticket::Look(_))) {
+            self.look_around(&job);
+        }
     }
 
     /// Whether a description has all fields, and fits a machine and its team.
@@ -153,10 +163,14 @@
         r.order += 1;
         let said = Said { stance, by: open.node, order: r.order, at: now };
         let cell = r.cells.entry(id.clone()).or_default();
+        let news = cell.accepted.is_none() || (ends && cell.end.is_none());
         if ends {
             cell.end.get_or_insert(said.clone());
         }
         cell.accepted.get_or_insert(said);
+        if news {
+            self.look_after(&open.job, ends);
+        }
     }
 
     /// Whether somebody asked to cancel a job that this one needs.
@@ -178,6 +192,7 @@
     /// Looks at each record of a job that was put: it must be of the description that its user submitted.
     pub(crate) fn vet_record(&self, key: &str) {
         let Some(id) = key.strip_prefix("job/") else { return };
+        assert!(!self.looks.odd.contains_key(id), "accepted though it can't run or lacks a field: {id}");
         let Some(j) = self.jobs.get(id) else { return };
         let kept = &self.store.keys[key].0["spec"];
         let wants: Value = serde_json::from_str(&j.body).expect("JSON");
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -162,6 +162,7 @@
 
     pub(crate) fn run_workers(&mut self) {
         let now = self.now;
+        let mut whole = Vec::new();
         for i in 0..self.workers.len() {
             let w = &mut self.workers[i];
             if w.gone || w.dead || now < w.up_at || now < w.hung_until {
@@ -193,11 +194,15 @@
                 if why == Some("done") {
                     let all = job.spec.tasks;
                     let j = self.jobs.get_mut(&t.job).expect("known");
+                    let before = j.done.len();
                     if gang {
                         j.done.extend(0..all);
                     } else {
                         j.done.insert(t.index);
                     }
+                    if before < j.done.len() && j.done.len() == all as usize {
+                        whole.push(t.job.clone());
+                    }
                 }
                 if state == "running" {
                     self.jobs.get_mut(&t.job).expect("known").begun_at.get_or_insert(now);
@@ -230,6 +235,7 @@
                 }
             }
         }
+        self.last_tasks_ended(&whole);
         self.run_gangs();
     }
 
