Links: who is held back counts no earlier process of its own in

Cause: a process that is held back before it joins names the epoch without it together with the record's members, also where that is its own earlier process.

Change: it leaves itself out.

--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -13,7 +13,10 @@
             && !self.membership.is_in(record)
         {
             let number = |m: &(String, u64)| self.settings.members.iter().position(|n| *n == m.0);
-            return (record.epoch, record.members.iter().filter_map(number).map(|n| n as u32).collect());
+            // It may name an earlier process of ours. Guards against processes that are held back and wait for one another,
+            // each heard as a member that is there.
+            let others = record.members.iter().filter_map(number).filter(|n| *n != self.settings.me);
+            return (record.epoch, others.map(|n| n as u32).collect());
         }
         let (epoch, members) = self.membership.stands_by();
         // Who has given way takes no part in that epoch, even if it names an earlier process of ours: to others its word
@@ -216,3 +219,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
