--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -4,6 +4,9 @@
 
 impl World {
     pub(crate) fn later(&mut self, delay: u64, what: What) {
+        if let What::Node(n, _, Event::User(ticket, request)) = &what {
+            self.note_sent(*ticket, *n, request);
+        }
         self.serial += 1;
         self.queue.insert((self.now + delay.max(1), self.serial), what);
     }
@@ -75,6 +78,11 @@
         let boot = self.boots[n];
         match e {
             Effect::Reply(t, reply) => match self.tickets.remove(&t) {
+                Some(ticket @ Ticket::Look(_)) => {
+                    self.note_told(n, &reply);
+                    self.tickets.insert(t, ticket);
+                    self.later(1000, What::UserAnswer(t, reply));
+                }
                 Some(Ticket::Worker(w, seq)) => {
                     if let Some(d) = self.travel(End::Node(n), End::Workers) {
                         self.later(d, What::WorkerAnswer(w, seq, reply));
@@ -88,10 +96,12 @@
                 Some(Ticket::Writer(q)) => self.writer_told(&q, &reply),
                 Some(Ticket::Asked) => {
                     self.note_told(n, &reply);
+                    self.answered(t, &reply);
                     self.answers.insert(t, reply);
                 }
                 Some(Ticket::Poll(id, n, asked)) => {
                     self.note_told(n, &reply);
+                    self.answered(t, &reply);
                     self.polled(&id, n, asked, &reply);
                 }
                 Some(Ticket::Probe(n)) => self.balancer.told(self.now, n, reply.status == 200),
@@ -173,7 +183,9 @@
     pub(crate) fn happen(&mut self, what: What) {
         match what {
             What::Node(n, boot, e) => {
-                if boot == 0 || boot == self.boots[n] {
+                if (boot == 0 || boot == self.boots[n])
+                    && let Some(e) = self.at_edge(n, e)
+                {
                     self.drive(n, e);
                 }
             }
@@ -211,12 +223,17 @@
             What::Back(n) => self.start(n),
             What::WorkerAnswer(w, seq, reply) => self.worker_answer(w, seq, &reply),
             What::UserAnswer(t, reply) => {
-                if let Some(Ticket::User(id, kind)) = self.tickets.remove(&t)
-                    && self.jobs.get(&id).is_none_or(|j| j.latest == t)
-                {
-                    self.user_answer(&id, kind, &reply);
+                // Also an answer that its user waits for no more was given.
+                self.answered(t, &reply);
+                match self.tickets.remove(&t) {
+                    Some(Ticket::User(id, kind)) if self.jobs.get(&id).is_none_or(|j| j.latest == t) => {
+                        self.user_answer(&id, kind, &reply);
+                    }
+                    Some(Ticket::Look(look)) => self.look_answer(&look, &reply),
+                    _ => {}
                 }
             }
+            What::Look(look) => self.send_look(look),
         }
     }
 }
