Owners: a record of a newer epoch is not started in the older one

Cause: a controller that has yet to hear of a new epoch acts on by its store lease. Asked about a job that the new owner has just accepted there, it read the record and started the job, since all its machines had been heard in its own epoch; the new owner started it as well, as new.

Change: what was written since our epoch was raised, of a job that we knew nothing of, is started only once the epoch is seen to stand after that reading. Machines that are heard do not settle it.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -79,6 +79,8 @@
     Unread,
     /// Machines in this set may hold tasks of it.
     Waits(Doubt),
+    /// Nobody can have started it if this epoch stands; if a newer one has been raised, its owner there may have.
+    IfEpochStands,
 }
 
 /// A live job.
@@ -174,7 +176,7 @@
     /// Some set has become empty: jobs may be settled.
     ends_doubt: bool,
     vouching: vouch::Vouching,
-    /// Jobs whose record was written after this epoch was raised, and when we read it.
+    /// Jobs whose record was written after this epoch was raised, which may not have been in it, and when we read it.
     maybe_new: BTreeMap<String, Micros>,
     revs: Vec<u64>,
     /// Starts of which the homes are to hear.
@@ -302,6 +304,9 @@
         for j in self.jobs.values_mut() {
             j.writing = false;
             j.verify = true;
+            if j.evidence == Evidence::IfEpochStands {
+                j.evidence = Evidence::Unread;
+            }
             for p in j.placed.values_mut() {
                 p.asked = u64::MAX;
             }
--- a/src/jobs/handover.rs
+++ b/src/jobs/handover.rs
@@ -24,7 +24,7 @@
             let (parcel, sets) = out.entry(to).or_default();
             let doubt = match j.evidence {
                 // The next owner reads the same records.
-                Evidence::Unread => continue,
+                Evidence::Unread | Evidence::IfEpochStands => continue,
                 Evidence::Complete => None,
                 Evidence::Waits(d) => Some(*sets.entry(d).or_insert_with(|| {
                     parcel.doubts.push(self.doubts.machines(d).cloned().collect());
--- a/src/jobs/newcomers.rs
+++ b/src/jobs/newcomers.rs
@@ -3,16 +3,19 @@
 //! Every write of a job's record names the epoch that it is made in, and in each epoch only the owner writes progress. So
 //! a record written since this epoch was raised, and in no later one, of a job that we know nothing of, was accepted in
 //! this epoch, and nobody can have started the job. A later one may have been raised while we read: what counts is that
-//! the epoch record is read once more after the job's, and still names this epoch.
+//! the epoch record is read once more after the job's, and still names this epoch. Until then nothing of it is started.
 
 use super::*;
 
 impl Owner {
-    /// A job's record, read just now, was written after this epoch was raised.
+    /// The record of a job that we knew nothing of, read just now, was written after this epoch was raised.
     pub fn maybe_new(&mut self, now: Micros, id: &str) {
-        if self.jobs.get(id).is_some_and(|j| !j.settled()) {
-            self.maybe_new.entry(id.to_owned()).or_insert(now);
-        }
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        // Guards against a start by the owners of two epochs: while we act on in the older one, the job's owner in the newer
+        // one may have accepted it there, and starts it at once. Whether our machines have been heard says nothing of that.
+        j.evidence = Evidence::IfEpochStands;
+        self.vouching.jobs_changed = true;
+        self.maybe_new.entry(id.to_owned()).or_insert(now);
     }
 
     /// The store said that this epoch is the newest; it was asked at `sent`.
@@ -23,7 +26,7 @@
             if *read >= sent {
                 return true;
             }
-            if let Some(j) = jobs.get_mut(id) {
+            if let Some(j) = jobs.get_mut(id).filter(|j| j.evidence == Evidence::IfEpochStands) {
                 j.evidence = Evidence::Complete;
             }
             false
@@ -37,10 +40,49 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::tests::{owner_of, raw};
+    use super::super::tests::{owner_of, raw, whole};
     use super::*;
     use crate::units::Ranges;
 
+    /// Found by the seeded sweep of overlapping pairs: `ran_twice`, by the owners of two epochs.
+    #[test]
+    fn what_was_written_since_the_epoch_began_is_not_started_before_that_is_seen_to_stand() {
+        for (machines, late) in [(&[][..], false), (&["i-1"][..], false), (&["i-1"][..], true)] {
+            let (mut m, _, mut owner, machine) = owner_of(raw("batch", 1, 0.0));
+            owner.adopt(&m, false);
+            let at = Micros::from_millis;
+            let read = |owner: &mut Owner| {
+                let mut r = raw("batch", 4, 0.0);
+                r["uid"] = json!("wk-2");
+                let spec = Spec::from_value(&r).expect("valid");
+                owner.insert(r, spec, Micros(1), Ranges::default(), 9, false);
+                owner.maybe_new(at(1000), "wk-2");
+            };
+            // With the other records, or when somebody asks about it.
+            if !late {
+                read(&mut owner);
+            }
+            owner.load_done(machines.iter().map(|m| (*m).to_owned()));
+            owner.digest(at(900), &m, 0, whole(&m, 1, 0, vec![machine.clone()]));
+            if late {
+                read(&mut owner);
+            }
+            assert_eq!((owner.unheard(), owner.in_doubt()), (0, 1), "all machines have been heard");
+            m.adopt(at(1100), &crate::ring::EpochRecord { epoch: 2, members: vec![("c0".into(), 1)] }, 2);
+            let next = owner_in_next(&mut owner, &m);
+            assert_eq!(next.in_doubt(), 1, "in the next epoch it waits like any other");
+            next.digest(at(1200), &m, 0, whole(&m, 1, 0, vec![machine]));
+            assert_eq!(next.in_doubt(), 0);
+        }
+    }
+
+    /// Adopts the next epoch, in which a machine is on record.
+    fn owner_in_next<'a>(owner: &'a mut Owner, m: &Membership) -> &'a mut Owner {
+        owner.adopt(m, true);
+        owner.load_done(["i-1".to_owned()].into_iter());
+        owner
+    }
+
     #[test]
     fn a_job_accepted_in_this_epoch_waits_for_nobody_once_the_epoch_is_seen_to_stand() {
         let (mut m, _, mut owner, _) = owner_of(raw("batch", 1, 0.0));
