--- a/tests/world/compound.rs
+++ b/tests/world/compound.rs
@@ -47,9 +47,15 @@
     MachinesHang,
     MachinesDie,
     MachinesTakenBack,
+    /// Changes of the state service are carried out at once, and only the answers are lost.
+    AnswersLost,
+    /// Copies of reports that come to every controller when the next epoch begins, or once it has acted.
+    ReportsForNext,
+    /// They reach no controller, while direct messages reach them.
+    MachinesMute,
 }
 
-pub(crate) const TROUBLES: [Trouble; 20] = [
+pub(crate) const TROUBLES: [Trouble; 23] = [
     Trouble::Restart,
     Trouble::RestartAll,
     Trouble::Leave,
@@ -70,6 +76,9 @@
     Trouble::MachinesHang,
     Trouble::MachinesDie,
     Trouble::MachinesTakenBack,
+    Trouble::AnswersLost,
+    Trouble::ReportsForNext,
+    Trouble::MachinesMute,
 ];
 
 /// A user was told that a job is cancelled.
@@ -192,6 +201,9 @@
             self.compound.refusals += 1;
             return self.later(delay, What::Node(n, boot, Event::Store(id, StoreAnswer::Refused)));
         }
+        if self.loses_answer(n, &r, delay) {
+            return unknown(self);
+        }
         let (share, until) = self.compound.late_writes;
         if self.now < until && matches!(r, StoreRequest::Commit(_)) && self.rng.random_bool(share) {
             let late = self.rng.random_range(2 * S..12 * S);
@@ -337,6 +349,18 @@
                 let share = self.rng.random_range(0.1..0.9);
                 self.late_reports(share, long);
             }
+            Trouble::AnswersLost => {
+                let share = self.rng.random_range(0.05..0.6);
+                self.answers_lost(None, share, long, Carried::AtOnce);
+            }
+            Trouble::ReportsForNext => {
+                let share = self.rng.random_range(0.1..0.9);
+                self.reports_for_next(share, long);
+            }
+            Trouble::MachinesMute => {
+                let some = self.some_machines();
+                self.machine_mute(&some, long);
+            }
             Trouble::MachinesDeaf => {
                 let some = self.some_machines();
                 self.machine_deaf(&some, long);
@@ -383,9 +407,12 @@
     /// When nothing of all this lasts any more.
     pub(crate) fn over_at(&self) -> u64 {
         let c = &self.compound;
-        let ends = [self.outage_until, c.late_writes.1, c.late_reports.1, c.slow];
+        let ends = [self.outage_until, c.late_writes.1, c.late_reports.1, c.slow, self.lost.until()];
         let ends = ends.into_iter().chain(c.refused).chain(self.hung.iter().copied());
         let ends = ends.chain(c.ways.iter().map(|w| w.until)).chain(self.cuts.iter().map(|c| c.2));
-        ends.chain(self.workers.iter().map(|w| w.deaf_until)).filter(|&t| t < NEVER).max().unwrap_or(0)
+        ends.chain(self.workers.iter().flat_map(|w| [w.deaf_until, w.mute_until]))
+            .filter(|&t| t < NEVER)
+            .max()
+            .unwrap_or(0)
     }
 }
--- a/tests/world/days/batches.rs
+++ b/tests/world/days/batches.rs
@@ -4,7 +4,7 @@
 use crate::*;
 use hazelsaddle::api::ops::OpRequest;
 
-fn world(seed: u64, shape: Shape) -> World {
+pub(super) fn world(seed: u64, shape: Shape) -> World {
     let mut w = World::new(seed, shape);
     w.operators = Some(Operators::parse("test", INI).expect("valid"));
     w
@@ -71,7 +71,13 @@
 /// Batches are put and replaced at any moment, by operators and by runs, while merges wait, start, run and write, under all
 /// troubles; processes that end are back at once.
 fn replaced(seed: u64, quick: bool) -> World {
-    let mut w = world(seed, Shape { jobs: 12, machines: 6, room: 8, ..SMALL });
+    let w = world(seed, REPLACED);
+    replaced_in(w, seed, quick)
+}
+
+pub(super) const REPLACED: Shape = Shape { jobs: 12, machines: 6, room: 8, ..SMALL };
+
+pub(super) fn replaced_in(mut w: World, seed: u64, quick: bool) -> World {
     w.batches.writers = true;
     let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
         w.run(200 * S, 15 * S);
--- a/tests/world/days/loans.rs
+++ b/tests/world/days/loans.rs
@@ -4,11 +4,11 @@
 use hazelsaddle_loans::ledger::{Ledger, Loan, State as Stands};
 
 /// Two machines without GPUs and eight of four; each zone is full, so that nothing can be rented.
-const GPUS: Shape = Shape { machines: 2, gpus: 8, room: 5, teams: 4, jobs: 0, ..SMALL };
+pub(super) const GPUS: Shape = Shape { machines: 2, gpus: 8, room: 5, teams: 4, jobs: 0, ..SMALL };
 
 /// What a day has seen of loans.
 #[derive(Default)]
-struct Seen {
+pub(super) struct Seen {
     loans: BTreeMap<u64, Loan>,
     lenders: BTreeSet<String>,
     most: u32,
@@ -20,7 +20,7 @@
 
 impl Seen {
     /// Whether something was lent, and serving ran on it.
-    fn lent(&self) -> bool {
+    pub(super) fn lent(&self) -> bool {
         !self.lenders.is_empty() && self.most > 0
     }
 }
@@ -101,7 +101,10 @@
 
 /// t0 fills all GPUs, t2 runs within its guarantee, then t1 serves: eight GPUs within its guarantee.
 fn gpu_day(seed: u64, gang: bool, troubles: u64) -> (World, Seen, usize) {
-    let mut w = World::new(seed, GPUS);
+    gpu_day_in(World::new(seed, GPUS), seed, gang, troubles)
+}
+
+pub(super) fn gpu_day_in(mut w: World, seed: u64, gang: bool, troubles: u64) -> (World, Seen, usize) {
     let mut seen = Seen::default();
     add(&mut w, &Ask { n: 1, team: "t2", gait: "batch", rank: "normal", tasks: 2, gpus: 2, run: 400 * S });
     look(&mut w, &mut seen, 0, 25 * S);
@@ -145,7 +148,7 @@
 }
 
 /// What must be true whether or not anything was lent.
-fn kept(seed: u64, w: &World, seen: &Seen) {
+pub(super) fn kept(seed: u64, w: &World, seen: &Seen) {
     assert!(!seen.lenders.contains("t2"), "seed {seed}: what is within its guarantee was lent");
     for (team, l) in ledgers(w) {
         assert!(l.loans.is_empty(), "seed {seed}: lent for ever by {team}: {:#?} {:#?}", l.loans, w.log);
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -5,6 +5,7 @@
 mod compound;
 mod gap;
 mod loans;
+mod lost;
 mod pairs;
 mod plain;
 mod releases;
--- a/tests/world/days/releases.rs
+++ b/tests/world/days/releases.rs
@@ -87,57 +87,62 @@
     }
 }
 
+/// Two titles' night among all troubles: what must be true of it at its end, and how many were refused, done without, and over.
+pub(super) fn release_day(seed: u64, mut w: World) -> (World, [usize; 3]) {
+    let (mut refused, mut waived, mut last) = (0, 0, 0);
+    let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        plan(&mut w);
+        rough(&mut w, 260 * S);
+        w.run(0, 420 * S);
+        // What was cancelled holds its rotation until an operator does without it.
+        for (t, title) in TITLES.iter().enumerate() {
+            let show = OpRequest::Release((*title).into(), Some("1970-01-01".into()));
+            let shown = w.operate(t, &show);
+            assert_eq!(shown.status, 200, "{}", shown.body);
+            let shown: Value = serde_json::from_str(&shown.body).expect("JSON");
+            for cause in shown["waits_for"].as_array().expect("causes") {
+                assert!(["cancelled", "live", "no_render"].iter().any(|c| cause["cause"] == *c), "{shown}");
+                let job = cause["job"].as_str().unwrap_or("missing").to_owned();
+                if cause["cause"] != "live" {
+                    let night = Some("1970-01-01".to_owned());
+                    let r = w.operate(2, &OpRequest::Waive((*title).into(), night, job, "known".into()));
+                    assert_eq!(r.status, 200, "{}", r.body);
+                    waived += 1;
+                }
+            }
+        }
+        let end = w.now + 180 * S;
+        w.run(0, end);
+        for (id, j) in &w.jobs {
+            let live = w.record(&format!("job/{id}"));
+            if j.refused {
+                let there = live.or(w.record(&format!("done/{id}")));
+                assert!(there.is_none(), "{id} was refused and is there: {there:?}");
+                refused += 1;
+                continue;
+            }
+            let over = j.known == Known::Done || (j.known == Known::Cancelled && j.cancel_asked);
+            assert!(over, "{id} is {:?}: {live:?}", j.known);
+            last += usize::from(j.spec.release.is_some());
+        }
+    }));
+    if let Err(e) = r {
+        let states = w.states();
+        eprintln!("seed {seed}, at {:.3} s: {:#?} {states:#?}", w.now as f64 / 1e6, w.log);
+        std::panic::resume_unwind(e);
+    }
+    (w, [refused, waived, last])
+}
+
 /// No rotation task before its set is closed, all its members are done on record, and that is on record; nobody who was
 /// accepted is left out; whoever was refused is not there; nothing is held for ever. The rules are looked at after each step.
 #[test]
 fn rotations_wait_for_all_that_was_accepted_whatever_fails() {
     let (mut refused, mut waived, mut last) = (0, 0, 0);
     for seed in seeds().map(|s| s + 5000) {
-        let mut w = World::new(seed, Shape { jobs: 20, calendar: true, ..SMALL });
-        let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
-            plan(&mut w);
-            rough(&mut w, 260 * S);
-            w.run(0, 420 * S);
-            // What was cancelled holds its rotation until an operator does without it.
-            for (t, title) in TITLES.iter().enumerate() {
-                let show = OpRequest::Release((*title).into(), Some("1970-01-01".into()));
-                let shown = w.operate(t, &show);
-                assert_eq!(shown.status, 200, "{}", shown.body);
-                let shown: Value = serde_json::from_str(&shown.body).expect("JSON");
-                for cause in shown["waits_for"].as_array().expect("causes") {
-                    assert!(
-                        ["cancelled", "live", "no_render"].iter().any(|c| cause["cause"] == *c),
-                        "{shown}"
-                    );
-                    let job = cause["job"].as_str().unwrap_or("missing").to_owned();
-                    if cause["cause"] != "live" {
-                        let night = Some("1970-01-01".to_owned());
-                        let r = w.operate(2, &OpRequest::Waive((*title).into(), night, job, "known".into()));
-                        assert_eq!(r.status, 200, "{}", r.body);
-                        waived += 1;
-                    }
-                }
-            }
-            let end = w.now + 180 * S;
-            w.run(0, end);
-            for (id, j) in &w.jobs {
-                let live = w.record(&format!("job/{id}"));
-                if j.refused {
-                    let there = live.or(w.record(&format!("done/{id}")));
-                    assert!(there.is_none(), "{id} was refused and is there: {there:?}");
-                    refused += 1;
-                    continue;
-                }
-                let over = j.known == Known::Done || (j.known == Known::Cancelled && j.cancel_asked);
-                assert!(over, "{id} is {:?}: {live:?}", j.known);
-                last += usize::from(j.spec.release.is_some());
-            }
-        }));
-        if let Err(e) = r {
-            let states = w.states();
-            eprintln!("seed {seed}, at {:.3} s: {:#?} {states:#?}", w.now as f64 / 1e6, w.log);
-            std::panic::resume_unwind(e);
-        }
+        let w = World::new(seed, Shape { jobs: 20, calendar: true, ..SMALL });
+        let (_, [r, n, l]) = release_day(seed, w);
+        (refused, waived, last) = (refused + r, waived + n, last + l);
     }
     assert!(refused > 30 && waived > 10 && last > 500, "{refused} refused, {waived} waived, {last} over");
 }
--- /dev/null
+++ b/tests/world/lost.rs
@@ -0,0 +1,434 @@
+//! What is lost or late so that its sender can't tell, and what is noted of that: answers of the state service about what
+//! it was asked to change, reports that are kept for the next leader, machines that reach no controller, machines that are
+//! up at once, and rentals without an answer.
+
+use super::*;
+use std::ops::Range;
+
+/// A kind of change of the state service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Write {
+    Raise,
+    Member,
+    Grant,
+    Renewal,
+    Acceptance,
+    Progress,
+    End,
+    /// A team's record in which no job has less than before, and one in which some job has.
+    Claim,
+    Shrinking,
+    Page,
+    Unwitnessed,
+    Release,
+    Batch,
+    Loan,
+}
+
+/// Whether and when a change without an answer is carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Carried {
+    Never,
+    AtOnce,
+    /// After 2 to 12 s.
+    Late,
+    /// Once another process has written the same key.
+    AfterSuccessor,
+}
+
+/// Whose answers are lost: of one kind or any, of one controller or any.
+#[derive(Clone, Copy, Debug)]
+struct Loss {
+    of: Option<Write>,
+    by: Option<usize>,
+    share: f64,
+    until: u64,
+    carried: Carried,
+}
+
+/// A change whose sender gets no answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Unanswered {
+    n: usize,
+    boot: u64,
+    kind: Write,
+    carried: Carried,
+    request: StoreRequest,
+}
+
+/// One that was carried out, until its sender has read what it wrote.
+#[derive(Debug)]
+struct Unread {
+    n: usize,
+    boot: u64,
+    kind: Write,
+    carried: Carried,
+    keys: Vec<String>,
+    until: u64,
+}
+
+/// What became of changes of one kind without an answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Count {
+    pub(crate) asked: usize,
+    /// Carried out, and of these, with effect.
+    pub(crate) applied: usize,
+    pub(crate) took: usize,
+    /// Read by another controller before its sender has read it back.
+    pub(crate) read: usize,
+}
+
+/// Copies of reports that came to the next leader.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Copies {
+    pub(crate) all: usize,
+    /// At the machine's home, whose token the machine has yet to see.
+    pub(crate) first: usize,
+    /// At the home, once a task that this epoch decided on was on the machine.
+    pub(crate) acted: usize,
+    /// From an earlier session.
+    pub(crate) earlier: usize,
+    /// Of a machine that was gone by then.
+    pub(crate) gone: usize,
+    /// That list a task as done which the machine has forgotten since.
+    pub(crate) forgotten: usize,
+}
+
+#[derive(Default)]
+pub(crate) struct Lost {
+    losses: Vec<Loss>,
+    pub(crate) counts: BTreeMap<(Write, Carried), Count>,
+    /// Those that wait for another process to write the same.
+    waiting: Vec<Unanswered>,
+    unread: Vec<Unread>,
+    /// Share and end of the reports that are kept; worker, when it was sent, and the report.
+    reports: (f64, u64),
+    kept: Vec<(usize, Report)>,
+    /// Those that wait until the owners of an epoch have begun to start tasks.
+    held: Vec<(u64, usize, Report)>,
+    epoch: u64,
+    pub(crate) copies: Copies,
+    /// Reports of mute machines, and answers of theirs to direct messages.
+    pub(crate) muted: usize,
+    pub(crate) spoken: usize,
+    /// How soon rented machines are up, if it matters.
+    pub(crate) boots: Option<Range<u64>>,
+    rentals: (f64, u64),
+    /// Rentals that were carried out without an answer.
+    pub(crate) rented: usize,
+    /// Until when requests on a controller's line for the ring take so much longer.
+    ring_line: [(u64, u64); 3],
+}
+
+impl Lost {
+    /// When nothing of all this lasts any more.
+    pub(crate) fn until(&self) -> u64 {
+        let ends = self.losses.iter().map(|l| l.until).chain(self.ring_line.iter().map(|l| l.0));
+        ends.chain([self.reports.1, self.rentals.1]).max().unwrap_or(0)
+    }
+
+    /// Whether controllers, or what they need, are in trouble.
+    pub(crate) fn troubles(&self, now: u64) -> bool {
+        self.losses.iter().any(|l| now < l.until) || self.ring_line.iter().any(|l| now < l.0)
+    }
+
+    pub(crate) fn count(&self, kind: Write, carried: Carried) -> Count {
+        self.counts.get(&(kind, carried)).copied().unwrap_or_default()
+    }
+}
+
+/// The keys that a transaction writes or deletes.
+fn keys_of(r: &StoreRequest) -> Vec<String> {
+    let StoreRequest::Commit(c) = r else { return Vec::new() };
+    c.puts.iter().map(|p| &p.0).chain(&c.drops).cloned().collect()
+}
+
+impl World {
+    /// That share of changes of a kind, or of any, gets no answer.
+    pub(crate) fn answers_lost(&mut self, of: Option<Write>, share: f64, long: u64, carried: Carried) {
+        self.lost.losses.push(Loss { of, by: None, share, until: self.now + long, carried });
+    }
+
+    /// Of that share of the workers' reports a copy is kept until the next epoch and arrives then at every controller, half of
+    /// them only after tasks were started in it.
+    pub(crate) fn reports_for_next(&mut self, share: f64, long: u64) {
+        self.lost.reports = (share, self.now + long);
+    }
+
+    /// These machines reach no controller, while direct messages reach them.
+    pub(crate) fn machine_mute(&mut self, machines: &[usize], long: u64) {
+        for &i in machines {
+            self.workers[i].mute_until = self.now + long;
+        }
+    }
+
+    /// That share of rentals is carried out without an answer.
+    pub(crate) fn rentals_lost(&mut self, share: f64, long: u64) {
+        self.lost.rentals = (share, self.now + long);
+    }
+
+    /// What a controller asks on its line for the ring takes so much longer; the rest of its requests don't.
+    pub(crate) fn ring_line_slow(&mut self, n: usize, by: u64, long: u64) {
+        self.lost.ring_line[n] = (self.now + long, by);
+    }
+
+    pub(crate) fn ring_line(&self, n: usize, ring: bool) -> u64 {
+        let (until, by) = self.lost.ring_line[n];
+        if ring && self.now < until { by } else { 0 }
+    }
+
+    fn kind_of(&self, r: &StoreRequest) -> Option<Write> {
+        let c = match r {
+            StoreRequest::Grant(_) => return Some(Write::Grant),
+            StoreRequest::Renew(_) => return Some(Write::Renewal),
+            StoreRequest::Commit(c) => c,
+            _ => return None,
+        };
+        let keys = keys_of(r);
+        let has = |prefix: &str| keys.iter().any(|k| k.starts_with(prefix));
+        let new = || c.conditions.iter().any(|(k, mark)| k.starts_with("job/") && *mark == 0);
+        const PLAIN: [(&str, Write); 8] = [
+            ("ring/epoch", Write::Raise),
+            ("ring/m/", Write::Member),
+            ("done/", Write::End),
+            ("mach/", Write::Page),
+            ("unwitnessed/", Write::Unwitnessed),
+            ("pact/r/", Write::Release),
+            ("pactpage/r/", Write::Release),
+            ("pact/l/", Write::Loan),
+        ];
+        if let Some((_, kind)) = PLAIN.iter().find(|(prefix, _)| has(prefix)) {
+            return Some(*kind);
+        }
+        match () {
+            _ if has("job/") => Some(if new() { Write::Acceptance } else { Write::Progress }),
+            _ if has("team/") => Some(if self.shrinks(c) { Write::Shrinking } else { Write::Claim }),
+            _ if has("pact/b/") => Some(Write::Batch),
+            _ => None,
+        }
+    }
+
+    /// Whether some job has less in a team's record than before.
+    fn shrinks(&self, c: &Commit) -> bool {
+        let claims = |v: &Value| -> BTreeMap<String, i64> {
+            let all = v.as_object().into_iter().flatten();
+            all.map(|(job, c)| (job.clone(), c[0].as_i64().unwrap_or(0))).collect()
+        };
+        c.puts.iter().any(|(key, value, _)| {
+            let before = self.store.keys.get(key).map(|v| claims(&v.0)).unwrap_or_default();
+            let after = claims(value);
+            before.iter().any(|(job, c)| after.get(job).copied().unwrap_or(0) < *c)
+        })
+    }
+
+    /// Whether the answer to a request is lost; if so, what becomes of the request is settled here.
+    pub(crate) fn loses_answer(&mut self, n: usize, r: &StoreRequest, delay: u64) -> bool {
+        if !self.lost.losses.iter().any(|l| self.now < l.until) {
+            return false;
+        }
+        let Some(kind) = self.kind_of(r) else { return false };
+        let hit =
+            |l: &&Loss| self.now < l.until && l.of.is_none_or(|k| k == kind) && l.by.is_none_or(|p| p == n);
+        let Some(l) = self.lost.losses.iter().find(hit).copied() else { return false };
+        if !self.rng.random_bool(l.share) {
+            return false;
+        }
+        self.lost.counts.entry((kind, l.carried)).or_default().asked += 1;
+        let u = Unanswered { n, boot: self.boots[n], kind, carried: l.carried, request: r.clone() };
+        match l.carried {
+            Carried::Never => {}
+            Carried::AtOnce => self.later(delay, What::Unanswered(u)),
+            Carried::Late => {
+                let late = self.rng.random_range(2 * S..12 * S);
+                self.later(late, What::Unanswered(u));
+            }
+            Carried::AfterSuccessor => self.lost.waiting.push(u),
+        }
+        true
+    }
+
+    /// A change whose sender gets no answer is carried out, by the conditions as they are now.
+    pub(crate) fn carried_out(&mut self, u: Unanswered) {
+        if self.now < self.outage_until {
+            // One that is late is carried out after the outage; the others were refused, and nobody was told.
+            if u.carried == Carried::Late {
+                let delay = self.outage_until - self.now + S / 10;
+                self.later(delay, What::Unanswered(u));
+            }
+            return;
+        }
+        let keys = keys_of(&u.request);
+        let a = self.store_apply_by(u.n, u.boot, u.request);
+        self.run_watches();
+        let took = matches!(a, StoreAnswer::Committed(_) | StoreAnswer::Granted(_) | StoreAnswer::Renewed);
+        // Its successor's word must stand, whatever still comes of its own.
+        assert!(
+            !took || u.carried != Carried::AfterSuccessor,
+            "{:?} of {keys:?} by {} took effect after its successor's at {}",
+            u.kind,
+            u.n,
+            self.now
+        );
+        let count = self.lost.counts.entry((u.kind, u.carried)).or_default();
+        count.applied += 1;
+        count.took += usize::from(took);
+        if took && !keys.is_empty() {
+            let until = self.now + 10 * S;
+            self.lost.unread.push(Unread {
+                n: u.n,
+                boot: u.boot,
+                kind: u.kind,
+                carried: u.carried,
+                keys,
+                until,
+            });
+        }
+    }
+
+    /// A controller's request reaches the state service.
+    pub(crate) fn store_apply_by(&mut self, n: usize, boot: u64, r: StoreRequest) -> StoreAnswer {
+        self.note_read(n, boot, &r);
+        let keys = keys_of(&r);
+        let a = self.store_apply(r);
+        if matches!(a, StoreAnswer::Committed(_)) && !self.lost.waiting.is_empty() {
+            let follows = |u: &mut Unanswered| {
+                (u.n, u.boot) != (n, boot) && keys_of(&u.request).iter().any(|k| keys.contains(k))
+            };
+            for u in self.lost.waiting.extract_if(.., follows).collect::<Vec<_>>() {
+                let soon = self.rng.random_range(1..3 * S / 10);
+                self.later(soon, What::Unanswered(u));
+            }
+        }
+        a
+    }
+
+    /// Who reads what was written without an answer: its sender, or somebody else before it.
+    fn note_read(&mut self, n: usize, boot: u64, r: &StoreRequest) {
+        let now = self.now;
+        let covers = |key: &String| match r {
+            StoreRequest::Get(k) => k == key,
+            StoreRequest::List(prefix, after) => key.starts_with(prefix) && key > after,
+            _ => false,
+        };
+        let mut read: Vec<(Write, Carried)> = Vec::new();
+        self.lost.unread.retain(|u| {
+            if now >= u.until {
+                return false;
+            }
+            if !u.keys.iter().any(covers) {
+                return true;
+            }
+            if (u.n, u.boot) != (n, boot) {
+                read.push((u.kind, u.carried));
+            }
+            false
+        });
+        for key in read {
+            self.lost.counts.entry(key).or_default().read += 1;
+        }
+    }
+
+    /// A report was sent: perhaps a copy is kept. Of each machine a few, old ones too.
+    pub(crate) fn keep_report(&mut self, i: usize, report: &Report) {
+        const KEPT: usize = 4;
+        let (share, until) = self.lost.reports;
+        if self.now >= until || !self.rng.random_bool(share) {
+            return;
+        }
+        let mine: Vec<usize> = (0..self.lost.kept.len()).filter(|k| self.lost.kept[*k].0 == i).collect();
+        if mine.len() < KEPT {
+            self.lost.kept.push((i, report.clone()));
+        } else {
+            let k = mine[self.rng.random_range(0..KEPT)];
+            self.lost.kept[k].1 = report.clone();
+        }
+    }
+
+    /// Looks whether the epoch was raised: what was kept for the next leader arrives now, or once it has acted.
+    pub(crate) fn note_epoch(&mut self) {
+        let Some(epoch) = self.store.keys.get("ring/epoch").and_then(|v| v.0["epoch"].as_u64()) else {
+            return;
+        };
+        if epoch == self.lost.epoch {
+            return;
+        }
+        self.lost.epoch = epoch;
+        for (i, report) in std::mem::take(&mut self.lost.kept) {
+            if self.rng.random_bool(0.5) {
+                self.to_everybody(i, &report);
+            } else {
+                self.lost.held.push((epoch, i, report));
+            }
+        }
+    }
+
+    /// A worker takes a start that was decided on in this epoch.
+    pub(crate) fn note_start(&mut self, attempt: u64) {
+        if self.lost.held.is_empty() {
+            return;
+        }
+        // The epoch is an attempt's head.
+        let epoch = attempt >> 24;
+        for (_, i, report) in self.lost.held.extract_if(.., |h| h.0 <= epoch).collect::<Vec<_>>() {
+            self.to_everybody(i, &report);
+        }
+    }
+
+    fn to_everybody(&mut self, i: usize, report: &Report) {
+        for n in 0..3 {
+            let soon = self.rng.random_range(1..3 * S / 10);
+            self.later(soon, What::KeptReport(i, n, report.clone()));
+        }
+    }
+
+    /// A copy that was kept arrives. Nobody waits for its answer.
+    pub(crate) fn kept_report(&mut self, i: usize, n: usize, report: Report) {
+        let w = &self.workers[i];
+        let c = &mut self.lost.copies;
+        c.all += 1;
+        if let Some(node) = &self.nodes[n]
+            && node.membership.home(&w.name) == Some(n)
+        {
+            let epoch = node.membership.epoch;
+            c.first += usize::from(w.token < epoch);
+            c.acted += usize::from(w.tasks.iter().any(|t| t.attempt >> 24 >= epoch));
+        }
+        c.earlier += usize::from(w.session > report.session);
+        c.gone += usize::from(w.gone || w.dead);
+        let lists = |r: &ReportedTask| {
+            w.tasks.iter().any(|t| t.attempt == r.attempt && r.task == format!("{}/{}", t.job, t.index))
+        };
+        c.forgotten +=
+            usize::from(report.tasks.iter().any(|r| r.why.as_deref() == Some("done") && !lists(r)));
+        self.serial += 1;
+        self.drive(n, Event::Report(self.serial, report));
+    }
+
+    /// The cloud's answer to a rental may be lost although it was carried out.
+    pub(crate) fn rental_answer(&mut self, r: &CloudRequest, a: CloudAnswer) -> CloudAnswer {
+        let (share, until) = self.lost.rentals;
+        let rented = matches!((r, &a), (CloudRequest::Rent(_), CloudAnswer::Rented(_)));
+        if !rented || self.now >= until || !self.rng.random_bool(share) {
+            return a;
+        }
+        self.lost.rented += 1;
+        CloudAnswer::Failed
+    }
+
+    /// Whether a machine's name is on record.
+    pub(crate) fn on_record(&self, name: &str) -> bool {
+        let pages = self.store.keys.range("mach/".to_owned().."mach0".to_owned());
+        pages.into_iter().any(|(_, v)| v.0.get(name).is_some())
+    }
+
+    /// Somebody polls a job through one controller.
+    pub(crate) fn poll(&mut self, n: usize, id: &str) {
+        if self.nodes[n].is_none() {
+            return;
+        }
+        self.serial += 1;
+        self.tickets.insert(self.serial, Ticket::Poll(id.to_owned(), n, self.now));
+        let ask = Event::User(self.serial, UserRequest::Query(id.to_owned()));
+        self.later(1, What::Node(n, self.boots[n], ask));
+    }
+}
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -18,6 +18,7 @@
 mod batches;
 mod compound;
 mod days;
+mod lost;
 mod net;
 mod outside;
 mod parts;
@@ -29,6 +30,7 @@
 mod workers;
 
 pub(crate) use compound::*;
+pub(crate) use lost::*;
 pub(crate) use parts::*;
 pub(crate) use shape::*;
 pub(crate) use silence::*;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -149,8 +149,9 @@
                     self.later(2 * S, What::Node(n, boot, Event::Store(id, StoreAnswer::Unknown)));
                 }
             }
-            Effect::Store(id, r, _) => {
-                let delay = self.travel(End::Node(n), End::Store);
+            Effect::Store(id, r, ring) => {
+                let line = self.ring_line(n, ring);
+                let delay = self.travel(End::Node(n), End::Store).map(|d| d + line);
                 let r = self.written_by(n, r);
                 self.ask_store(n, id, r, delay);
             }
@@ -177,7 +178,7 @@
                 }
             }
             What::StoreApply(n, boot, id, r, wait) => {
-                let a = self.store_apply(r);
+                let a = self.store_apply_by(n, boot, r);
                 self.note_commit(n, &a);
                 let a = self.read_by(n, a);
                 self.run_watches();
@@ -192,6 +193,8 @@
             }
             What::LateWrite(n, issued, r) => self.late_write(n, issued, r),
             What::LateReport(w, target, sent, report) => self.late_report(w, target, sent, report),
+            What::Unanswered(u) => self.carried_out(u),
+            What::KeptReport(w, n, report) => self.kept_report(w, n, report),
             What::End(n, boot) => {
                 if boot == self.boots[n] {
                     self.crash_for(n, S / 20..S / 10);
@@ -199,6 +202,7 @@
             }
             What::Cloud(n, boot, r) => {
                 let a = self.cloud(&r);
+                let a = self.rental_answer(&r, a);
                 self.later(80_000, What::Node(n, boot, Event::Cloud(r, a)));
             }
             What::Effects(n, boot, out) => {
--- a/tests/world/outside.rs
+++ b/tests/world/outside.rs
@@ -101,6 +101,7 @@
         );
         let a = self.store.apply(self.now, r);
         self.watch_batches();
+        self.note_epoch();
         a
     }
 
@@ -149,7 +150,8 @@
                             3 | 4 => self.rng.random_range(40 * S..90 * S),
                             _ => self.rng.random_range(3 * S..20 * S),
                         };
-                        self.add_worker(&r.kind, &r.zone, r.spot, boot)
+                        let soon = self.lost.boots.clone().map(|b| self.rng.random_range(b));
+                        self.add_worker(&r.kind, &r.zone, r.spot, soon.unwrap_or(boot))
                     })
                     .collect();
                 self.rentals.insert(r.name.clone(), names.clone());
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -31,6 +31,10 @@
     pub(crate) hung_until: u64,
     /// Until when answers and direct commands to it are lost.
     pub(crate) deaf_until: u64,
+    /// Until when it reaches no controller.
+    pub(crate) mute_until: u64,
+    /// It was given a task once.
+    pub(crate) begun: bool,
     pub(crate) gone: bool,
     pub(crate) dead: bool,
     pub(crate) target: usize,
@@ -56,6 +60,10 @@
     LateWrite(usize, u64, StoreRequest),
     /// A copy of a worker's report that was sent then, to that controller.
     LateReport(usize, usize, u64, Report),
+    /// A change of the state service whose sender gets no answer.
+    Unanswered(Unanswered),
+    /// A copy of a worker's report that was kept for the next leader, to that controller.
+    KeptReport(usize, usize, Report),
     /// A process that was told to leave ends, and is back at once.
     End(usize, u64),
     Cloud(usize, u64, CloudRequest),
@@ -176,6 +184,7 @@
     /// Since when a gang's attempt has lacked tasks.
     pub(crate) lacks: BTreeMap<(String, u64), u64>,
     pub(crate) compound: Compound,
+    pub(crate) lost: Lost,
     pub(crate) log: Vec<String>,
 }
 
@@ -226,6 +235,7 @@
             spoilt: 0,
             lacks: BTreeMap::new(),
             compound: Compound::default(),
+            lost: Lost::default(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
@@ -249,6 +259,8 @@
             up_at,
             hung_until: 0,
             deaf_until: 0,
+            mute_until: 0,
+            begun: false,
             gone: false,
             dead: false,
             target: self.rng.random_range(0..3),
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -47,6 +47,7 @@
         }
         w.seq += 1;
         let report = w.report();
+        self.lost.spoken += usize::from(now < w.mute_until);
         if let Some(d) = self.travel(End::Workers, End::Node(n)) {
             self.later(d, What::Node(n, boot, Event::Greeted(report)));
         }
@@ -129,6 +130,12 @@
                     None
                 };
                 let fetch = self.rng.random_range(S / 2..4 * S);
+                self.note_start(attempt);
+                // Guards the machine that nobody would ask after a takeover.
+                assert!(
+                    self.on_record(&self.workers[i].name),
+                    "{job}/{index}: started on what is not on record"
+                );
                 self.workers[i].tasks.push(Task {
                     job: job.into(),
                     index,
@@ -140,6 +147,7 @@
                 });
                 if why.is_none() {
                     self.starts += 1;
+                    self.workers[i].begun = true;
                     self.merge_starts(job);
                     for p in &self.jobs[job].spec.follows {
                         let p = &self.jobs[p];
@@ -219,12 +227,17 @@
                 w.changed = false;
                 w.flight = Some((w.seq, now));
                 w.next = now + 3 * S;
+                if now < w.mute_until {
+                    self.lost.muted += 1;
+                    continue;
+                }
                 let report = w.report();
                 let (target, seq) = (w.target, w.seq);
                 self.serial += 1;
                 let ticket = self.serial;
                 self.tickets.insert(ticket, Ticket::Worker(i, seq));
                 self.copy_report(i, target, &report);
+                self.keep_report(i, &report);
                 if let Some(d) = self.travel(End::Workers, End::Node(target)) {
                     self.later(d, What::Node(target, 0, Event::Report(ticket, report)));
                 }
