Owners: an end is put on record once nobody else can be answering for the job

Cause: the new owner of a job wrote its end while the old one still acted in the epoch before. The new one's answer was lost, the old one read the end on record and told it, and the new one then said from memory that the job runs: went_back.

Change: ends wait until all others have stopped acting under older epochs, as answers to users do.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -188,6 +188,8 @@
     dirty: Vec<bool>,
     /// Records have been read in this epoch.
     pub loaded: bool,
+    /// Nobody else can be answering as the owner of our jobs.
+    pub alone: bool,
     /// Something changed that may let a task be placed.
     pub replan: bool,
     blame: Blame,
@@ -254,6 +256,7 @@
             unacked: vec![BTreeMap::new(); n],
             dirty: vec![true; n],
             loaded: false,
+            alone: true,
             replan: true,
             blame: Blame::default(),
             waiting: Waiting::default(),
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -72,7 +72,10 @@
                 j.ending = Some(Final::Done);
             }
             if ends {
+                // Guards against an end that is told by who owned the job before us and reads it there, while we have yet to
+                // hear that our write was carried out and still say that the job runs.
                 if let Some(f) = j.ending
+                    && self.alone
                     && now >= j.next_write
                 {
                     j.writing = true;
--- a/src/node.rs
+++ b/src/node.rs
@@ -428,6 +428,7 @@
         if !self.membership.aside {
             self.home.tick(now, &self.membership);
         }
+        self.owner.alone = self.membership.others_have_stopped(now);
         if acting && self.owner.loaded {
             if now >= self.next_plan
                 && (self.owner.replan || now >= self.next_plan + Micros::from_millis(400))
--- a/tests/world/days/lost.rs
+++ b/tests/world/days/lost.rs
@@ -531,6 +531,69 @@
     assert!(copies > 200, "{copies} copies");
 }
 
+/// Two epochs' owners of one job, both acting: the new one has put the end on record and has no answer yet, the old one reads
+/// it there. It must not be told before the new one knows, or the new one would still say that the job runs.
+#[test]
+fn an_end_that_a_new_owner_wrote_is_not_told_by_the_old_one_first() {
+    let (mut met, mut lost) = (0, 0);
+    for seed in rounds(8).map(|r| r + 30_480) {
+        let mut w = world(seed, 0);
+        guarded(seed, &mut w, |w| {
+            w.run(0, 15 * S);
+            let (q, n) = (seed as usize % 3, (seed as usize + 1) % 3);
+            let back = w.now + 20 * S;
+            w.crash_for(q, 20 * S..20 * S + 1);
+            let until = back - 10 * S;
+            w.run(0, until);
+            for _ in 0..50 {
+                let id = one_task(w, 60 * S);
+                let n = (0..3).filter(|&n| n != q).collect::<Vec<_>>()[w.rng.random_range(0..2)];
+                w.submit_to(n, &id);
+            }
+            // They all end within moments, more than their owner can put on record at once, and the next epoch comes.
+            w.run(0, back - 5 * S / 2);
+            w.answers_lost_by(n, Write::End, 1.0, 3 * S, Carried::Never);
+            let now = w.now;
+            for t in w.workers.iter_mut().flat_map(|x| &mut x.tasks).filter(|t| t.state == "running") {
+                t.until = now + u64::from(t.attempt as u32 % 10) * S / 20;
+            }
+            w.run(0, back);
+            let by = w.rng.random_range(3 * S / 10..S);
+            w.ring_line_slow(n, by, 8 * S);
+            for p in (0..3).filter(|&p| p != n) {
+                w.one_way(p, n, 8 * S, Fate::Lost);
+            }
+            w.answers_lost_by(q, Write::End, 1.0, 6 * S, Carried::AtOnce);
+            while w.now < back + 9 * S {
+                // Two that act as the owner of a job whose task has ended, and its user has not been told.
+                let acts = |x: usize, id: &str| {
+                    let node = w.nodes[x].as_ref().filter(|node| node.membership.may_act(w.clock(x)));
+                    node.is_some_and(|node| node.membership.job_owner(id) == Some(x))
+                };
+                let over = |(id, j): (&String, &UserJob)| {
+                    (j.known == Known::Accepted && !j.done.is_empty()).then(|| id.clone())
+                };
+                let open: Vec<String> = w.jobs.iter().filter_map(over).collect();
+                met += open.iter().filter(|id| acts(n, id) && acts(q, id)).count();
+                for id in open {
+                    let p = if w.rng.random_bool(0.5) { n } else { q };
+                    if w.rng.random_bool(0.5) {
+                        w.poll(p, &id);
+                    }
+                }
+                let until = w.now + S / 10;
+                w.run(0, until);
+            }
+            settle(w, 420 * S);
+        });
+        ended(&mut w, seed);
+        lost +=
+            w.lost.count(Write::End, Carried::Never).asked + w.lost.count(Write::End, Carried::AtOnce).took;
+    }
+    eprintln!("{met} moments, {lost} ends without an answer");
+    assert!(met > 100 && lost > 40, "{met} moments, {lost} ends without an answer");
+}
+
 /// The new owner has just accepted a job, the old one acts on in the epoch before and reads the record when it is asked. All its
 /// machines are heard in its epoch; the job must not be started by both.
 #[test]
--- a/tests/world/lost.rs
+++ b/tests/world/lost.rs
@@ -149,6 +149,12 @@
         self.lost.losses.push(Loss { of, by: None, share, until: self.now + long, carried });
     }
 
+    /// The same for one controller.
+    pub(crate) fn answers_lost_by(&mut self, n: usize, of: Write, share: f64, long: u64, carried: Carried) {
+        let until = self.now + long;
+        self.lost.losses.push(Loss { of: Some(of), by: Some(n), share, until, carried });
+    }
+
     /// Of that share of the workers' reports a copy is kept until the next epoch and arrives then at every controller, half of
     /// them only after tasks were started in it.
     pub(crate) fn reports_for_next(&mut self, share: f64, long: u64) {
