Ring: a controller takes its own key as written once it reads that

Cause: a write of the member's key whose answer was lost was written again, for as long as answers were lost, while the lease ran out that only a registered controller renews. The others counted it in and out in turns.

Change: what is read back and equals what was last written needs no answer.

--- a/src/node.rs
+++ b/src/node.rs
@@ -233,8 +233,10 @@
     fresh: Freshness,
     releases: Releases,
     handover: Handover,
-    /// The version of its own key, if it was read since that was last written.
+    /// The version of its own key, if it was read since that was last written, and what was last written there without an
+    /// answer.
     own_mark: Option<u64>,
+    own_sent: Option<Value>,
     loans: Loans,
     witness: Witness,
     lookups: BTreeMap<String, Vec<(Origin, UserRequest)>>,
@@ -311,6 +313,7 @@
             standing_in: BTreeMap::new(),
             clocks: vec![(0, Micros(0)); n],
             own_mark: None,
+            own_sent: None,
             sent: vec![Micros(0); n],
             sent_seq: vec![0; n],
             acked: vec![0; n],
--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -25,6 +25,7 @@
             self.restraint.registers(held);
             let aside = held || self.aside.away().is_some();
             let own = self.own_key(lease, aside);
+            self.own_sent = Some(own.1.clone());
             // Guards against one that is carried out late, after a newer one of this process or the next: the key would
             // say that a controller wants no place, or is another process, and the others would put it out while it acts.
             let c = Commit { conditions: vec![(own.0.clone(), mark)], puts: vec![own], ..Commit::default() };
@@ -84,6 +85,7 @@
                 tracing::info!(epoch = self.membership.epoch, "store lease lost");
                 self.lease = None;
                 self.registered = false;
+                self.own_sent = None;
                 self.membership.lease_lost();
                 self.ring_again(now, 0);
             }
@@ -92,11 +94,19 @@
                 self.ring_again(now, 0);
             }
             (Purpose::ReadOwn, StoreAnswer::Got(row)) => {
-                self.own_mark = Some(row.map_or(0, |r| r.mark));
+                // Guards against a controller that never joins: what it wrote may stand although no answer ever comes, and
+                // others count it in while it writes again until its lease ends. With its lease the key would be gone.
+                if row.as_ref().is_some_and(|r| self.own_sent.as_ref() == Some(&r.value)) {
+                    self.registered = true;
+                    self.own_sent = None;
+                } else {
+                    self.own_mark = Some(row.map_or(0, |r| r.mark));
+                }
                 self.ring_again(now, 0);
             }
             (Purpose::Register, StoreAnswer::Committed(_)) => {
                 self.registered = true;
+                self.own_sent = None;
                 self.ring_again(now, 0);
             }
             (Purpose::ReadEpoch(sent), StoreAnswer::Got(row)) => {
--- a/tests/world/days/lost.rs
+++ b/tests/world/days/lost.rs
@@ -641,3 +641,30 @@
     }
     assert!(met > 40, "{met} questions to the old owner while both act");
 }
+
+/// None of a controller's writes of its own key has an answer, while it is carried out: what it reads back tells it as much.
+#[test]
+fn who_reads_its_own_key_back_joins_without_an_answer_to_its_write() {
+    let mut took = 0;
+    for seed in rounds(6).map(|r| r + 30_490) {
+        let mut w = world(seed, 20);
+        guarded(seed, &mut w, |w| {
+            w.run(0, 20 * S);
+            let n = seed as usize % 3;
+            let epoch = w.epoch();
+            w.answers_lost_by(n, Write::Member, 1.0, 60 * S, Carried::AtOnce);
+            w.crash_for(n, S / 20..S / 10);
+            let until = w.now + 8 * S;
+            w.run(0, until);
+            let acts = |w: &World| w.nodes[n].as_ref().is_some_and(|x| x.membership.may_act(w.clock(n)));
+            assert!(acts(w), "seed {seed}: {n} has not joined");
+            let until = w.now + 40 * S;
+            w.run(0, until);
+            assert!(acts(w) && w.epoch() <= epoch + 2, "seed {seed}: epochs {epoch} to {}", w.epoch());
+            settle(w, 420 * S);
+        });
+        ended(&mut w, seed);
+        took += w.lost.count(Write::Member, Carried::AtOnce).took;
+    }
+    assert!(took >= 6, "{took} keys written without an answer");
+}
