--- a/src/node/links/tests.rs
+++ b/src/node/links/tests.rs
@@ -1,7 +1,6 @@
 //! What is said to peers of the ring.
 
 use super::super::handover::tests::{at, node};
-use super::*;
 use crate::ring::EpochRecord;
 
 /// Three that are held back at the same time heard one another as members, and nobody joined for the whole pause (seed 4542 of
