--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -6,6 +6,7 @@
 mod gap;
 mod loans;
 mod looks;
+mod lost;
 mod pairs;
 mod plain;
 mod register;
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -19,6 +19,7 @@
 mod compound;
 mod days;
 mod looks;
+mod lost;
 mod net;
 mod outside;
 mod parts;
@@ -32,6 +33,7 @@
 
 pub(crate) use compound::*;
 pub(crate) use looks::*;
+pub(crate) use lost::*;
 pub(crate) use parts::*;
 pub(crate) use register::*;
 pub(crate) use shape::*;
