Submissions: a gang that can be in one zone only and must not is refused, odd amounts overflow nothing

Cause: Spec::check looked at one task alone; scatter beside together, a paddock or types of a single zone was accepted and would have waited for ever. A type without zones counted as fitting. Room::count_of gave i64::MAX for a task that takes nothing, which overflowed the decider's sums; the queue's length overflowed with estimates of centuries.

Change: the check knows of zones, count_of is bounded, the queue's length saturates. The description's parser is as it was.

--- a/src/jobs/order.rs
+++ b/src/jobs/order.rs
@@ -11,7 +11,7 @@
     pub fn order(&self) -> Vec<String> {
         let arrays =
             || self.jobs.values().filter(|j| j.spec.kind == Kind::Array && j.ending.is_none() && !j.waits());
-        let work: u64 = arrays().map(|j| self.left(j)).sum();
+        let work = arrays().fold(0u64, |sum, j| sum.saturating_add(self.left(j)));
         let running: usize = arrays().map(|j| j.placed.len()).sum();
         let queue = Micros(work / running.max(1) as u64);
         let mut ids: Vec<_> = self
@@ -40,7 +40,8 @@
 
     /// How long an array's tasks have left to run, one after the other.
     fn left(&self, j: &Job) -> u64 {
-        u64::from(j.spec.tasks - j.done.len()) * likely(&self.ran, &j.spec).0.max(1)
+        // Users' estimates may be anything.
+        u64::from(j.spec.tasks - j.done.len()).saturating_mul(likely(&self.ran, &j.spec).0.max(1))
     }
 
     /// How many of the times promised for a job's class it can't keep any more, and, if the queue is
--- a/src/spec.rs
+++ b/src/spec.rs
@@ -7,7 +7,7 @@
 use hazelsaddle_release::says::Says;
 use serde::Deserialize;
 use serde_json::{Map, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Work of teams with a guarantee stands above all other work, whatever its priority: this much is added.
 /// What other teams run may be stopped to give a team its guarantee, so it also makes room.
@@ -311,12 +311,22 @@
         };
         let fits = |t: &MachineType| {
             (self.kinds.is_empty() || self.kinds.contains(&t.name))
-                && self.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && self.zone.as_ref().map_or(!t.zones.is_empty(), |z| t.zones.contains(z))
                 && t.room().holds(self.room)
         };
         if !types.values().any(fits) {
             return never("a task fits no allowed machine type".into());
         }
+        // Guards against a gang that is accepted and waits for ever: all its tasks run at the same time, and one zone may
+        // have no more than half of those that are to be scattered.
+        if self.kind == Kind::Gang && self.spread && self.tasks > 1 {
+            let zones = types.values().filter(|t| fits(t)).flat_map(|t| &t.zones);
+            let zones: BTreeSet<&String> =
+                zones.filter(|z| self.zone.as_ref().is_none_or(|only| only == *z)).collect();
+            if self.one_zone || zones.len() < 2 {
+                return never("a gang's tasks can't be scattered over a single zone".into());
+            }
+        }
         let together = if self.kind == Kind::Array { 1 } else { i64::from(self.tasks) };
         let all = self.room.times(together);
         for (need, most, what) in [(all.cpus, team.cpus_max, "processors"), (all.gpus, team.gpus_max, "GPUs")]
--- a/src/units.rs
+++ b/src/units.rs
@@ -39,9 +39,10 @@
     pub fn times(self, n: i64) -> Room {
         Room { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
     }
-    /// How many of `one` fit.
+    /// How many of `one` fit. What takes nothing fits more often than any job has tasks, but not so often that a sum over
+    /// machines overflows.
     pub fn count_of(self, one: Room) -> i64 {
-        let part = |have: i64, each: i64| if each <= 0 { i64::MAX } else { have.max(0) / each };
+        let part = |have: i64, each: i64| if each <= 0 { i64::from(u32::MAX) } else { have.max(0) / each };
         part(self.cpus, one.cpus).min(part(self.gpus, one.gpus)).min(part(self.memory, one.memory))
     }
 }
