--- a/src/node/epochs.rs
+++ b/src/node/epochs.rs
@@ -69,7 +69,12 @@
             self.registered = false;
             self.next_ring = now;
         } else if self.aside.probe(now) {
-            out.push(Effect::Probe(self.home.addresses(PROBED, now)));
+            let addresses = self.home.addresses(PROBED, now);
+            // Guards against a stay of minutes after those it knew have gone: nobody is left to try, so it tries its place.
+            match addresses.is_empty() {
+                true => self.aside.probed(true),
+                false => out.push(Effect::Probe(addresses)),
+            }
         }
     }
 
--- a/tests/spec.rs
+++ b/tests/spec.rs
@@ -66,7 +66,8 @@
         wrong.extend([json!(0), json!(1), json!("true"), json!({})].map(|v| (key, v)));
     }
     wrong.extend([json!(0), json!(-1), json!(1.5), json!("4"), json!(100_001)].map(|v| ("strides", v)));
-    wrong.extend([json!("g8"), json!([]), json!([7]), json!([null]), json!({})].map(|v| ("breedsOfStall", v)));
+    wrong
+        .extend([json!("g8"), json!([]), json!([7]), json!([null]), json!({})].map(|v| ("breedsOfStall", v)));
     wrong.extend([json!("wk-"), json!("wk-x"), json!("vk-000412"), json!("wk-000412 ")].map(|v| ("uid", v)));
     wrong.extend([("rank", json!("urgent")), ("rank", json!("High")), ("gait", json!("gang"))]);
     for (key, v) in wrong {
--- a/tests/world/compound.rs
+++ b/tests/world/compound.rs
@@ -42,6 +42,8 @@
     /// From the state service and the peers, not from workers and users.
     CutFromStoreAndPeers,
     CutFromAll,
+    /// A zone with its workers and controller.
+    ZoneCut,
     LateReports,
     MachinesDeaf,
     MachinesHang,
@@ -49,7 +51,7 @@
     MachinesTakenBack,
 }
 
-pub(crate) const TROUBLES: [Trouble; 20] = [
+pub(crate) const TROUBLES: [Trouble; 21] = [
     Trouble::Restart,
     Trouble::RestartAll,
     Trouble::Leave,
@@ -65,6 +67,7 @@
     Trouble::LatePeers,
     Trouble::CutFromStoreAndPeers,
     Trouble::CutFromAll,
+    Trouble::ZoneCut,
     Trouble::LateReports,
     Trouble::MachinesDeaf,
     Trouble::MachinesHang,
@@ -333,6 +336,7 @@
                 self.cut_from_store_and_peers(n, long, hold);
                 self.cuts.push((End::Node(n), End::Workers, now + long, hold));
             }
+            Trouble::ZoneCut => self.zone_cut(ZONES[n % 2], long, hold),
             Trouble::LateReports => {
                 let share = self.rng.random_range(0.1..0.9);
                 self.late_reports(share, long);
@@ -383,7 +387,7 @@
     /// When nothing of all this lasts any more.
     pub(crate) fn over_at(&self) -> u64 {
         let c = &self.compound;
-        let ends = [self.outage_until, c.late_writes.1, c.late_reports.1, c.slow];
+        let ends = [self.outage_until, c.late_writes.1, c.late_reports.1, c.slow, self.zones.until()];
         let ends = ends.into_iter().chain(c.refused).chain(self.hung.iter().copied());
         let ends = ends.chain(c.ways.iter().map(|w| w.until)).chain(self.cuts.iter().map(|c| c.2));
         ends.chain(self.workers.iter().map(|w| w.deaf_until)).filter(|&t| t < NEVER).max().unwrap_or(0)
--- a/tests/world/days/compound.rs
+++ b/tests/world/days/compound.rs
@@ -62,7 +62,7 @@
 }
 
 /// Users ask any controller to cancel these until they are told that they are cancelled, or so long.
-fn cancel_all(w: &mut World, ids: &[String], long: u64) {
+pub(super) fn cancel_all(w: &mut World, ids: &[String], long: u64) {
     let end = w.now + long;
     while w.now < end && ids.iter().any(|id| w.jobs[id].known == Known::Accepted) {
         for id in ids {
--- /dev/null
+++ b/tests/world/days/refused.rs
@@ -0,0 +1,123 @@
+//! Submissions that can never run, or that lack a field: no path that accepts takes them.
+
+use crate::*;
+
+/// A job that can run, but for what is said otherwise. The ids of one day differ.
+fn job(n: u32, changes: &[(&str, Value)]) -> (String, Value) {
+    let id = format!("wk-{:06}", 900_000 + n);
+    let mut body = json!({"uid": id, "breed": "odd", "herd": "t0", "gait": "group", "rank": "normal", "strides": 3,
+        "vcpus": 2.0, "cards": 0, "ramGb": 1.0, "tack": "img", "imageGb": 1.0, "breedsOfStall": null, "paddock": null,
+        "together": false, "scatter": false, "borrowed": false, "rideS": 10.0, "restS": 0.0, "unsaddleS": 0.0,
+        "dueS": null});
+    for (key, v) in changes {
+        match v {
+            // Stands for a field that isn't there.
+            Value::Object(_) => drop(body.as_object_mut().expect("an object").remove(*key)),
+            v => body[*key] = v.clone(),
+        }
+    }
+    (id, body)
+}
+
+/// What the protocol answers with 422, then what it answers with 400.
+fn odd(first: u32) -> Vec<(String, String, u16)> {
+    let gone = || json!({});
+    let never: [&[(&str, Value)]; 8] = [
+        &[("herd", json!("nobody"))],
+        &[("vcpus", json!(9))],
+        &[("cards", json!(1))],
+        &[("paddock", json!("c"))],
+        &[("breedsOfStall", json!(["huge"]))],
+        &[("strides", json!(13))],
+        &[("gait", json!("service")), ("strides", json!(13))],
+        &[("scatter", json!(true)), ("together", json!(true))],
+    ];
+    let malformed: [&[(&str, Value)]; 5] = [
+        &[("scatter", gone())],
+        &[("rideS", gone())],
+        &[("strides", json!(0))],
+        &[("rank", json!("now"))],
+        &[("vcpus", json!(-1))],
+    ];
+    let all = never.iter().map(|c| (c, 422)).chain(malformed.iter().map(|c| (c, 400)));
+    (first..)
+        .zip(all)
+        .map(|(n, (c, status))| {
+            let (id, body) = job(n, c);
+            (id, body.to_string(), status)
+        })
+        .collect()
+}
+
+/// Asks a controller for each; counts those that were refused for good, and those put off.
+fn refused(w: &mut World, first: u32, n: usize) -> [usize; 2] {
+    let mut counts = [0; 2];
+    for (id, body, status) in odd(first) {
+        let r = w.ask(n, UserRequest::Submit(id.clone(), body));
+        assert!(r.status == status || r.status == 503, "{id}: {r:?}, not {status}");
+        let keys = [format!("job/{id}"), format!("done/{id}")];
+        assert!(keys.iter().all(|k| !w.store.keys.contains_key(k)), "{id} is on record");
+        counts[usize::from(r.status == 503)] += 1;
+    }
+    counts
+}
+
+fn owner(w: &World, id: &str) -> Option<usize> {
+    w.nodes.iter().flatten().max_by_key(|x| x.membership.epoch)?.membership.job_owner(id)
+}
+
+#[test]
+fn what_can_never_run_or_lacks_a_field_is_taken_by_nobody() {
+    for seed in 25_500..25_503 {
+        let mut w = World::new(seed, Shape { jobs: 0, ..SMALL });
+        // Nobody knows the machine types yet, and the ring stands.
+        w.zones.cloud_out = 60 * S;
+        w.run(0, 15 * S);
+        let mut counts = [0; 2];
+        for n in 0..3 {
+            let [now, later] = refused(&mut w, 100 * n as u32, n);
+            counts[0] += now;
+            counts[1] += later;
+        }
+        assert!(counts[0] == 3 * 5 && counts[1] == 3 * 8, "seed {seed}: without types {counts:?}");
+        assert!(w.now < 60 * S);
+        w.run(0, 90 * S);
+        // By their owners, at whichever controller users ask.
+        for n in 0..3 {
+            assert_eq!(refused(&mut w, 1000 + 100 * n as u32, n), [13, 0], "seed {seed}");
+        }
+        // In the place of an owner that doesn't answer; what can run is taken.
+        let mut stood_in = 0;
+        for n in 0..3 {
+            let ids = odd(2000).into_iter().enumerate().filter(|(_, (id, ..))| owner(&w, id) == Some(n));
+            for (_, (id, body, status)) in ids.collect::<Vec<_>>() {
+                w.hung[n] = w.now + 3 * S;
+                let r = w.ask((n + 1) % 3, UserRequest::Submit(id.clone(), body));
+                assert!(r.status == status || r.status == 503, "seed {seed}: {id}: {r:?}");
+                assert!(!w.store.keys.contains_key(&format!("job/{id}")), "seed {seed}: {id}");
+                stood_in += 1;
+                let until = w.now + 4 * S;
+                w.run(0, until);
+            }
+            let (id, body) = (3000..).map(|i| job(i, &[])).find(|j| owner(&w, &j.0) == Some(n)).expect("one");
+            w.add_given(&body, 5 * S).next = NEVER;
+            w.hung[n] = w.now + 4 * S;
+            w.submit_to((n + 1) % 3, &id);
+            let until = w.now + S;
+            w.run(0, until);
+            assert_eq!(w.jobs[&id].known, Known::Accepted, "seed {seed}: within a second");
+            w.jobs.get_mut(&id).expect("a job").next = w.now;
+            let until = w.now + 15 * S;
+            w.run(0, until);
+        }
+        assert_eq!(stood_in, 13);
+        // While a lost one's jobs change hands.
+        w.crash_for(seed as usize % 3, 12 * S..14 * S);
+        for i in 0..12 {
+            let n = (seed as usize + 1 + i % 2) % 3;
+            refused(&mut w, 4000 + 20 * i as u32, n);
+        }
+        w.run(0, 320 * S);
+        assert!(w.finished().is_empty(), "seed {seed}: {:?}", w.finished());
+    }
+}
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -27,9 +27,11 @@
 mod troubles;
 mod users;
 mod workers;
+mod zones;
 
 pub(crate) use compound::*;
 pub(crate) use parts::*;
 pub(crate) use shape::*;
 pub(crate) use silence::*;
 pub(crate) use troubles::*;
+pub(crate) use zones::*;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -13,7 +13,7 @@
         let delay = self.rng.random_range(500..4000) + if self.rng.random_bool(0.01) { 300_000 } else { 0 };
         let hit = |x: End, y: End| (x == a && y == b) || (x == b && y == a);
         let cut = self.cuts.iter().find(|&&(x, y, until, _)| hit(x, y) && self.now < until).copied();
-        let delay = delay + self.waylaid(a, b)?;
+        let delay = delay + self.waylaid(a, b)? + self.across_zones(a, b)?;
         match cut {
             None => Some(delay),
             Some((_, _, until, true)) => Some(until - self.now + delay),
@@ -73,9 +73,11 @@
     pub(crate) fn effect(&mut self, n: usize, e: Effect) {
         let boot = self.boots[n];
         match e {
+            Effect::Reply(t, reply) if self.kept_from_users(n, t, &reply) => {}
             Effect::Reply(t, reply) => match self.tickets.remove(&t) {
                 Some(Ticket::Worker(w, seq)) => {
-                    if let Some(d) = self.travel(End::Node(n), End::Workers) {
+                    self.note_answer(n, w, &reply);
+                    if let Some(d) = self.to_worker(n, w) {
                         self.later(d, What::WorkerAnswer(w, seq, reply));
                     }
                 }
@@ -154,14 +156,16 @@
                 let r = self.written_by(n, r);
                 self.ask_store(n, id, r, delay);
             }
-            Effect::Cloud(r) => self.later(80_000, What::Cloud(n, boot, r)),
-            Effect::Probe(_) => {
+            Effect::Cloud(r) => self.ask_cloud(n, r),
+            Effect::Probe(names) => {
                 let there = matches!(self.travel(End::Node(n), End::Workers), Some(d) if d < S);
+                let there = there && self.reaches_any(n, &names);
                 self.later(S, What::Node(n, boot, Event::Probed(there)));
             }
             Effect::Greet(token, list) => {
                 for g in list {
-                    if let Some(d) = self.travel(End::Node(n), End::Workers) {
+                    let Some(i) = self.workers.iter().position(|w| w.name == g.machine) else { continue };
+                    if let Some(d) = self.to_worker(n, i) {
                         self.later(d, What::Greet(n, boot, token, g));
                     }
                 }
@@ -172,6 +176,7 @@
     pub(crate) fn happen(&mut self, what: What) {
         match what {
             What::Node(n, boot, e) => {
+                let Some(n) = self.arrives(n, boot, &e) else { return };
                 if boot == 0 || boot == self.boots[n] {
                     self.drive(n, e);
                 }
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -176,6 +176,7 @@
     /// Since when a gang's attempt has lacked tasks.
     pub(crate) lacks: BTreeMap<(String, u64), u64>,
     pub(crate) compound: Compound,
+    pub(crate) zones: Zones,
     pub(crate) log: Vec<String>,
 }
 
@@ -226,6 +227,7 @@
             spoilt: 0,
             lacks: BTreeMap::new(),
             compound: Compound::default(),
+            zones: Zones::default(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
--- a/tests/world/silence.rs
+++ b/tests/world/silence.rs
@@ -86,6 +86,7 @@
             || now < self.outage_until
             || self.cuts.iter().any(|c| now < c.2)
             || self.compound.troubles(now)
+            || self.zones.cut(now)
     }
 
     pub(crate) fn run_pollers(&mut self) {
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -30,8 +30,9 @@
     /// A worker is told a token directly, and answers with its report.
     pub(crate) fn greet(&mut self, n: usize, boot: u64, token: u64, g: Greeting) {
         let now = self.now;
-        let there = |w: &&mut Worker| w.name == g.machine && !w.gone && !w.dead && now >= w.up_at;
-        let Some(w) = self.workers.iter_mut().find(there) else { return };
+        let there = |w: &Worker| w.name == g.machine && !w.gone && !w.dead && now >= w.up_at;
+        let Some(i) = self.workers.iter().position(there) else { return };
+        let w = &mut self.workers[i];
         if now < w.deaf_until {
             self.compound.unheard += 1;
             return;
@@ -47,7 +48,7 @@
         }
         w.seq += 1;
         let report = w.report();
-        if let Some(d) = self.travel(End::Workers, End::Node(n)) {
+        if let Some(d) = self.from_worker(i, n) {
             self.later(d, What::Node(n, boot, Event::Greeted(report)));
         }
     }
@@ -207,6 +208,9 @@
                 w.tasks[k].until = until;
                 w.tasks[k].why = why;
                 w.changed = true;
+                if t.state == "pulling" && state != "ended" {
+                    self.check_start(i, &t.job);
+                }
             }
             let w = &mut self.workers[i];
             if w.flight.is_some_and(|(_, sent)| now > sent + 4 * S) {
@@ -225,7 +229,7 @@
                 let ticket = self.serial;
                 self.tickets.insert(ticket, Ticket::Worker(i, seq));
                 self.copy_report(i, target, &report);
-                if let Some(d) = self.travel(End::Workers, End::Node(target)) {
+                if let Some(d) = self.from_worker(i, target) {
                     self.later(d, What::Node(target, 0, Event::Report(ticket, report)));
                 }
             }
--- /dev/null
+++ b/tests/world/zones.rs
@@ -0,0 +1,187 @@
+//! Zones: one that is cut off goes on inside, and what a job says of zones, types and kinds of machine is held to at the
+//! start of each of its tasks.
+
+use super::*;
+
+/// The controllers' zones. No machine stands in the last.
+pub(crate) const SEATS: [&str; 3] = ["a", "b", "c"];
+
+/// From then on the load balancer has taken a controller out that it can't reach, and has reset its connections.
+const REROUTED: u64 = 5 * S;
+/// After so long a controller gives up on the cloud.
+const CLOUD_PATIENCE: u64 = 4 * S;
+
+/// A zone that reaches nothing outside: not other zones, the state service, the cloud or users.
+#[derive(Clone, Copy, Debug)]
+struct ZoneCut {
+    zone: &'static str,
+    from: u64,
+    until: u64,
+    /// Whether what crosses it is held back until it is over, or lost.
+    hold: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Zones {
+    cuts: Vec<ZoneCut>,
+    /// Until when the cloud is out of order, for everybody.
+    pub(crate) cloud_out: u64,
+    /// Reports that a controller inside a cut zone answered.
+    pub(crate) inside: usize,
+    /// Reports of workers, requests of users and calls to the cloud that didn't get across.
+    pub(crate) stopped: [usize; 3],
+    /// Starts of jobs that are bound to a zone, a type or a kind of machine: all; and of those that say how their tasks
+    /// stand to one another, starts while one of these was on a machine that nobody outside could see.
+    pub(crate) bound: [usize; 2],
+    /// The zones in which tasks of such jobs started.
+    pub(crate) places: BTreeMap<String, BTreeSet<String>>,
+}
+
+impl Zones {
+    /// Whether any zone is cut off.
+    pub(crate) fn cut(&self, now: u64) -> bool {
+        self.cuts.iter().any(|c| now < c.until)
+    }
+    /// When none is any more.
+    pub(crate) fn until(&self) -> u64 {
+        self.cuts.iter().map(|c| c.until).max().unwrap_or(0)
+    }
+}
+
+impl World {
+    pub(crate) fn zone_cut(&mut self, zone: &'static str, long: u64, hold: bool) {
+        let (from, until) = (self.now, self.now + long);
+        self.zones.cuts.push(ZoneCut { zone, from, until, hold });
+    }
+
+    /// The cut between two places, if there is one; None stands for the region, which is in no zone.
+    fn cut_between(&self, a: Option<&str>, b: Option<&str>) -> Option<ZoneCut> {
+        let parts = |c: &&ZoneCut| self.now < c.until && (a == Some(c.zone)) != (b == Some(c.zone));
+        self.zones.cuts.iter().find(parts).copied()
+    }
+
+    /// How much longer a message takes between two places; None: it is lost.
+    fn across(&self, a: Option<&str>, b: Option<&str>) -> Option<u64> {
+        match self.cut_between(a, b) {
+            None => Some(0),
+            Some(c) => c.hold.then(|| c.until - self.now),
+        }
+    }
+
+    /// The same between two ends. Workers are in many zones: see `to_worker`.
+    pub(crate) fn across_zones(&self, a: End, b: End) -> Option<u64> {
+        let place = |e: End| match e {
+            End::Node(n) => Some(SEATS[n]),
+            End::Store | End::Workers => None,
+        };
+        if a == End::Workers || b == End::Workers { Some(0) } else { self.across(place(a), place(b)) }
+    }
+
+    /// When a controller's message to a worker arrives, if it does.
+    pub(crate) fn to_worker(&mut self, n: usize, i: usize) -> Option<u64> {
+        let delay = self.travel(End::Node(n), End::Workers)?;
+        Some(delay + self.across(Some(SEATS[n]), Some(&self.workers[i].zone))?)
+    }
+
+    /// When a worker's message to a controller arrives, if it does.
+    pub(crate) fn from_worker(&mut self, i: usize, n: usize) -> Option<u64> {
+        let delay = self.travel(End::Workers, End::Node(n))?;
+        let more = self.across(Some(&self.workers[i].zone), Some(SEATS[n]));
+        self.zones.stopped[0] += usize::from(more != Some(0));
+        Some(delay + more?)
+    }
+
+    /// Whether a controller reaches any of these machines at once.
+    pub(crate) fn reaches_any(&self, n: usize, names: &[String]) -> bool {
+        let near = |w: &Worker| self.across(Some(SEATS[n]), Some(&w.zone)) == Some(0);
+        self.workers.iter().any(|w| names.contains(&w.name) && near(w))
+    }
+
+    /// A worker is answered.
+    pub(crate) fn note_answer(&mut self, n: usize, i: usize, reply: &Reply) {
+        let cut = self.cut_between(Some(SEATS[n]), None).is_some();
+        let inside = reply.status == 200 && self.workers[i].zone == SEATS[n];
+        self.zones.inside += usize::from(cut && inside);
+    }
+
+    /// Whether nobody outside a cut zone sees this machine, or nobody at all does.
+    pub(crate) fn unseen(&self, w: &Worker) -> bool {
+        self.now < w.hung_until || self.now < w.deaf_until || self.cut_between(Some(&w.zone), None).is_some()
+    }
+
+    /// The controller at which a request of a user arrives that was sent to this one. The load balancer sends no new
+    /// connections to one that it can't reach; until it knows they lead nowhere. `boot` is not 0 for one that is asked
+    /// by name.
+    pub(crate) fn arrives(&mut self, n: usize, boot: u64, e: &Event) -> Option<usize> {
+        if !matches!(e, Event::User(..) | Event::Ready(_) | Event::Operator(..)) {
+            return Some(n);
+        }
+        let Some(cut) = self.cut_between(Some(SEATS[n]), None) else { return Some(n) };
+        self.zones.stopped[1] += 1;
+        let well = |p: &usize| self.cut_between(Some(SEATS[*p]), None).is_none();
+        let other = [(n + 1) % 3, (n + 2) % 3].into_iter().find(well);
+        other.filter(|_| boot == 0 && self.now >= cut.from + REROUTED)
+    }
+
+    /// Whether an answer to a user, or a probe, is lost with the zone of the controller that gives it. What it says of a
+    /// cancellation counts all the same.
+    pub(crate) fn kept_from_users(&mut self, n: usize, ticket: u64, reply: &Reply) -> bool {
+        let region = !matches!(self.tickets.get(&ticket), None | Some(Ticket::Worker(..)));
+        let lost = region && self.cut_between(Some(SEATS[n]), None).is_some();
+        if lost {
+            self.tickets.remove(&ticket);
+            self.note_told(n, reply);
+        }
+        lost
+    }
+
+    /// A call to the cloud. One that can't get across fails for the controller; held back, it is carried out late.
+    pub(crate) fn ask_cloud(&mut self, n: usize, r: CloudRequest) {
+        const NOBODY: u64 = u64::MAX;
+        let boot = self.boots[n];
+        if self.now < self.zones.cloud_out {
+            return self.later(80_000, What::Node(n, boot, Event::Cloud(r, CloudAnswer::Failed)));
+        }
+        let more = self.across(Some(SEATS[n]), None);
+        if more == Some(0) {
+            return self.later(80_000, What::Cloud(n, boot, r));
+        }
+        self.zones.stopped[2] += 1;
+        let failed = Event::Cloud(r.clone(), CloudAnswer::Failed);
+        self.later(CLOUD_PATIENCE, What::Node(n, boot, failed));
+        if let Some(more) = more {
+            self.later(more + 80_000, What::Cloud(n, NOBODY, r));
+        }
+    }
+
+    /// A task has its image and starts. What its job allows is held against the job's other tasks at this moment, also
+    /// those that nobody sees.
+    pub(crate) fn check_start(&mut self, i: usize, job: &str) {
+        let s = &self.jobs[job].spec;
+        let w = &self.workers[i];
+        let (now, name) = (self.now, &w.name);
+        assert!(s.kinds.is_empty() || s.kinds.contains(&w.kind), "wrong_place: {job} on {name} at {now}");
+        assert!(s.zone.as_ref().is_none_or(|z| *z == w.zone), "wrong_place: {job} on {name} at {now}");
+        assert!(s.spot || !w.spot, "wrong_place: {job} on {name} at {now}");
+        let lives = |x: &&Worker| !x.gone && !x.dead && now <= x.lease_from + (LEASE_S * 1e6) as u64;
+        let there: Vec<(&Worker, usize)> = (self.workers.iter().filter(lives))
+            .map(|x| (x, x.tasks.iter().filter(|t| t.job == job && t.on()).count()))
+            .filter(|(_, n)| *n > 0)
+            .collect();
+        let here: usize = there.iter().filter(|(x, _)| x.zone == w.zone).map(|(_, n)| n).sum();
+        let all: usize = there.iter().map(|(_, n)| n).sum();
+        assert!(!s.one_zone || here == all, "wrong_place: {job} on {name}, others elsewhere at {now}");
+        let most = s.tasks.div_ceil(2) as usize;
+        assert!(!s.spread || here <= most, "wrong_place: {job}: {here} of {} on {name} at {now}", s.tasks);
+        let bound = s.one_zone || s.spread || s.zone.is_some() || !s.kinds.is_empty();
+        let hidden = there.iter().any(|(x, _)| x.name != *name && self.unseen(x));
+        let hidden = (s.one_zone || s.spread) && hidden;
+        let zone = w.zone.clone();
+        for (count, is) in self.zones.bound.iter_mut().zip([bound, hidden]) {
+            *count += usize::from(is);
+        }
+        if bound {
+            self.zones.places.entry(job.to_owned()).or_default().insert(zone);
+        }
+    }
+}
