--- a/tests/world/compound.rs
+++ b/tests/world/compound.rs
@@ -42,6 +42,8 @@
     /// From the state service and the peers, not from workers and users.
     CutFromStoreAndPeers,
     CutFromAll,
+    /// A zone with its workers and controller.
+    ZoneCut,
     LateReports,
     MachinesDeaf,
     MachinesHang,
@@ -58,7 +60,7 @@
     MachinesMute,
 }
 
-pub(crate) const TROUBLES: [Trouble; 26] = [
+pub(crate) const TROUBLES: [Trouble; 27] = [
     Trouble::Restart,
     Trouble::RestartAll,
     Trouble::Leave,
@@ -74,6 +76,7 @@
     Trouble::LatePeers,
     Trouble::CutFromStoreAndPeers,
     Trouble::CutFromAll,
+    Trouble::ZoneCut,
     Trouble::LateReports,
     Trouble::MachinesDeaf,
     Trouble::MachinesHang,
@@ -358,6 +361,7 @@
                 self.cut_from_store_and_peers(n, long, hold);
                 self.cuts.push((End::Node(n), End::Workers, now + long, hold));
             }
+            Trouble::ZoneCut => self.zone_cut(ZONES[n % 2], long, hold),
             Trouble::LateReports => {
                 let share = self.rng.random_range(0.1..0.9);
                 self.late_reports(share, long);
@@ -433,6 +437,7 @@
             c.slow,
             self.looks.over_at(),
             self.lost.until(),
+            self.zones.until(),
         ];
         let ends = ends.into_iter().chain(c.refused).chain(self.hung.iter().copied());
         let ends = ends.chain(c.ways.iter().map(|w| w.until)).chain(self.cuts.iter().map(|c| c.2));
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -30,6 +30,7 @@
 mod troubles;
 mod users;
 mod workers;
+mod zones;
 
 pub(crate) use compound::*;
 pub(crate) use looks::*;
@@ -39,3 +40,4 @@
 pub(crate) use shape::*;
 pub(crate) use silence::*;
 pub(crate) use troubles::*;
+pub(crate) use zones::*;
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -193,6 +193,7 @@
     pub(crate) register: Register,
     pub(crate) looks: Looks,
     pub(crate) lost: Lost,
+    pub(crate) zones: Zones,
     pub(crate) log: Vec<String>,
 }
 
@@ -247,6 +248,7 @@
             register: Register::default(),
             looks: Looks::default(),
             lost: Lost::default(),
+            zones: Zones::default(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
--- a/tests/world/silence.rs
+++ b/tests/world/silence.rs
@@ -87,6 +87,7 @@
             || self.cuts.iter().any(|c| now < c.2)
             || self.compound.troubles(now)
             || self.lost.troubles(now)
+            || self.zones.cut(now)
     }
 
     pub(crate) fn run_pollers(&mut self) {
