--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -18,6 +18,7 @@
 mod stale;
 mod sync;
 mod vouch;
+mod withdrawal;
 
 use self::blame::Blame;
 use self::follow::Waiting;
@@ -103,7 +104,12 @@
     pub writing: bool,
     /// Its record's version must be read again first.
     pub verify: bool,
+    /// When it may next be written; after a failed try.
     next_write: Micros,
+    /// When its progress may next be.
+    next_progress: Micros,
+    /// What it has on its way, if it is to end.
+    withdrawal: withdrawal::Withdrawal,
     /// Jobs that it needs and that are not known to be done.
     waits_for: BTreeSet<String>,
     /// What else holds it.
@@ -128,6 +134,8 @@
     priority: u8,
     want: Want,
     alive: bool,
+    /// The worker is known to have had it.
+    arrived: bool,
     /// It completed: the worker may forget it once that is on record.
     done: bool,
     asked: u64,
@@ -196,6 +204,10 @@
     doubted: doubted::Doubted,
     loans: loans::Loans,
     gang_wait: Micros,
+    /// How long a home answers a machine without our word.
+    reach: Micros,
+    /// From when on nobody else can be answering workers, by what this epoch says.
+    older_silent: Micros,
     objectives: Vec<Objective>,
     /// What each team is guaranteed, of those that are guaranteed anything.
     guaranteed: BTreeMap<String, Room>,
@@ -260,6 +272,8 @@
             doubted: doubted::Doubted::default(),
             loans: loans::Loans::new(s.operators.loans.clone()),
             gang_wait: s.gang_wait,
+            reach: s.reach,
+            older_silent: Micros(0),
             objectives: s.objectives.clone(),
             guaranteed: s
                 .teams
@@ -287,6 +301,7 @@
     /// have owned them in between. Placed starts stay in doubt until their home has spoken.
     pub fn adopt(&mut self, m: &Membership, follows: bool) {
         self.loaded = false;
+        self.older_silent = m.older_silent_at();
         let blame = &mut self.blame;
         self.jobs.retain(|id, _| {
             let stays = follows && m.job_owner(id) == Some(m.me);
@@ -302,6 +317,7 @@
         for j in self.jobs.values_mut() {
             j.writing = false;
             j.verify = true;
+            j.withdrawal.anew();
             for p in j.placed.values_mut() {
                 p.asked = u64::MAX;
             }
@@ -411,6 +427,8 @@
             writing: false,
             verify: false,
             next_write: Micros(0),
+            next_progress: Micros(0),
+            withdrawal: withdrawal::Withdrawal::default(),
             waits_for: spec.follows.iter().cloned().collect(),
             hold: Hold::of(&spec, &raw),
             due: None,
--- a/src/jobs/plan.rs
+++ b/src/jobs/plan.rs
@@ -138,6 +138,8 @@
             return;
         }
         self.wall = wall;
+        self.older_silent = m.older_silent_at();
+        self.note_endings(now);
         self.judge(now, teams);
         self.move_gangs(now);
         let since = *self.loaded_at.get_or_insert(now);
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -62,41 +62,59 @@
         }
     }
 
-    /// The next change of a job's record that is due: ends first, then progress.
+    /// The next change of a job's record that is due: an end, or progress.
     pub fn next_write(&mut self, now: Micros, ends: bool) -> Option<(String, RecordWrite, u64)> {
-        for (id, j) in &mut self.jobs {
-            if j.writing || j.verify {
+        self.note_endings(now);
+        if ends { self.next_end(now) } else { self.next_progress(now) }
+    }
+
+    /// The next end: cancellations first, whose users wait for it, and then those that have waited for longest. In any other
+    /// order the same few would go last for as long as there are more ends than the state service takes.
+    fn next_end(&mut self, now: Micros) -> Option<(String, RecordWrite, u64)> {
+        let due = |j: &Job| !j.writing && !j.verify && now >= j.next_write;
+        let ends = self.jobs.iter().filter(|(_, j)| due(j));
+        let mut ends: Vec<(bool, Option<Micros>, &String)> = ends
+            .filter_map(|(id, j)| Some((j.ending? != Final::Cancelled, j.withdrawal.since, id)))
+            .collect();
+        ends.sort_unstable();
+        let ends: Vec<(bool, String)> = ends.into_iter().map(|(done, _, id)| (done, id.clone())).collect();
+        for (done, id) in ends {
+            // Guards against a start after the user was told that the job is cancelled: one that waits at a home, or is on
+            // its way to a worker.
+            if !done && !self.withdrawn(now, &id) {
                 continue;
             }
-            if j.ending.is_none() && j.spec.kind != Kind::Service && j.done.len() == j.spec.tasks {
-                j.ending = Some(Final::Done);
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            let Some(f) = j.ending else { continue };
+            j.writing = true;
+            let mut value = Owner::end_record(&j.raw, f, j.done.len());
+            if self.keep_class && value.get("says").is_none() {
+                value["says"] = json!({"breed": j.spec.class});
             }
-            if ends {
-                if let Some(f) = j.ending
-                    && now >= j.next_write
-                {
-                    j.writing = true;
-                    let mut value = Owner::end_record(&j.raw, f, j.done.len());
-                    if self.keep_class && value.get("says").is_none() {
-                        value["says"] = json!({"breed": j.spec.class});
-                    }
-                    return Some((id.clone(), RecordWrite::End(f, value), j.mark));
-                }
-            } else if j.ending.is_none() && j.done.len() > j.durable.len() && now >= j.next_write {
-                let raw = Owner::stored_raw(j);
-                let raw_len = raw.to_string().len();
-                let text = j.done.encode(self.value_bytes.saturating_sub(raw_len + 200));
-                let kept = Ranges::decode(&text, j.spec.tasks).unwrap_or_default();
-                // A description from before the limits fell may fill a value by itself: its progress stays
-                // with the workers until its end, which is short, is on record.
-                if kept == j.durable || raw_len + 60 > self.value_bytes {
-                    j.next_write = now + Micros::from_millis(5000);
-                    continue;
-                }
-                j.writing = true;
-                let value = Owner::record(&raw, j.accepted_wall, &text);
-                return Some((id.clone(), RecordWrite::Progress(value, kept), j.mark));
+            return Some((id, RecordWrite::End(f, value), j.mark));
+        }
+        None
+    }
+
+    fn next_progress(&mut self, now: Micros) -> Option<(String, RecordWrite, u64)> {
+        for (id, j) in &mut self.jobs {
+            let due = !j.writing && !j.verify && now >= j.next_write.max(j.next_progress);
+            if !due || j.ending.is_some() || j.done.len() <= j.durable.len() {
+                continue;
+            }
+            let raw = Owner::stored_raw(j);
+            let raw_len = raw.to_string().len();
+            let text = j.done.encode(self.value_bytes.saturating_sub(raw_len + 200));
+            let kept = Ranges::decode(&text, j.spec.tasks).unwrap_or_default();
+            // A description from before the limits fell may fill a value by itself: its progress stays
+            // with the workers until its end, which is short, is on record.
+            if kept == j.durable || raw_len + 60 > self.value_bytes {
+                j.next_progress = now + Micros::from_millis(5000);
+                continue;
             }
+            j.writing = true;
+            let value = Owner::record(&raw, j.accepted_wall, &text);
+            return Some((id.clone(), RecordWrite::Progress(value, kept), j.mark));
         }
         None
     }
@@ -107,7 +125,8 @@
         j.writing = false;
         j.mark = j.mark.max(mark);
         j.durable = kept;
-        j.next_write = now + Micros::from_millis(4000);
+        // Its end doesn't wait for that.
+        j.next_progress = now + Micros::from_millis(4000);
         let durable = j.durable.clone();
         for (k, l) in self.leftovers.range_mut((id.to_owned(), 0, String::new(), 0)..) {
             if k.0 != id {
--- a/src/jobs/sync.rs
+++ b/src/jobs/sync.rs
@@ -28,7 +28,8 @@
     ) {
         let key = (id.to_owned(), idx, p.machine.clone(), p.attempt);
         let priority = self.jobs.get(id).map_or(0, |j| j.spec.priority);
-        let left = Leftover { room, priority, want, alive, done, asked: UNSENT };
+        let arrived = p.phase.is_some_and(Phase::arrived);
+        let left = Leftover { room, priority, want, alive, arrived, done, asked: UNSENT };
         self.leftovers.insert(key, left);
         if alive || !done {
             let open = self.open_left.entry(id.to_owned()).or_default();
@@ -198,6 +199,15 @@
             })
             .map(|((id, idx, attempt), _)| (id.clone(), *idx, name.to_owned(), *attempt))
             .collect();
+        for ((id, idx, attempt), alive) in self.left_on.get(name).into_iter().flatten() {
+            let key = || (id.clone(), *idx, name.to_owned(), *attempt);
+            if *alive
+                && listed(id, *idx, *attempt).is_some_and(Phase::arrived)
+                && let Some(l) = self.leftovers.get_mut(&key())
+            {
+                l.arrived = true;
+            }
+        }
         for k in old {
             match listed(&k.0, k.1, k.3) {
                 Some(phase) => {
@@ -356,7 +366,9 @@
         let Some(j) = self.jobs.get_mut(id) else { return };
         let Some(p) = j.placed.remove(&idx) else { return };
         let gang = j.spec.kind == Kind::Gang;
-        if why == "refused" {
+        if matches!(p.want, Want::Stop(_)) {
+            tracing::debug!(job = id, task = idx, machine = %p.machine, reason = why, "stopped task gone");
+        } else if why == "refused" {
             j.not_before = j.not_before.max(now + Micros::from_millis(200));
             self.refusals.note(&p.machine, false);
             tracing::debug!(job = id, task = idx, machine = %p.machine, "start refused");
--- /dev/null
+++ b/src/jobs/withdrawal.rs
@@ -0,0 +1,106 @@
+//! What a cancelled job has on its way to machines: nothing of it may start once its user has been told.
+//!
+//! An end on record calls nothing back that is out: a start may wait at a home, or travel in the answer to a report. So the
+//! starts go first. Those that are not known to have arrived are withdrawn, and the end goes on record, which comes before
+//! any answer, once each of them has arrived or is gone, or can't arrive any more:
+//!
+//! - A home that has taken account of the withdrawal sends nothing of it from then on. What it sent before, a worker drops
+//!   `ANSWER` after it sent the report.
+//! - A home that doesn't hear us answers a machine with such a start for no longer than `reach` after our last word
+//!   without the withdrawal, whatever epochs do meanwhile (`machines/reach`).
+//! - Starts of a job taken over that are not known yet were sent before the older epochs fell silent.
+
+use super::*;
+use crate::machines::ANSWER;
+
+/// How far a cancelled job's starts have been withdrawn.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Withdrawal {
+    /// Since when it is to end.
+    pub(super) since: Option<Micros>,
+    /// Since when the homes of all that is still on its way have taken account of that.
+    heard: Option<Micros>,
+}
+
+impl Withdrawal {
+    /// A new epoch: machines may have other homes.
+    pub(super) fn anew(&mut self) {
+        self.heard = None;
+    }
+}
+
+impl Owner {
+    /// Takes note of jobs that are to end, and withdraws what cancelled ones have on their way.
+    pub(super) fn note_endings(&mut self, now: Micros) {
+        let mut cancelled = Vec::new();
+        for (id, j) in &mut self.jobs {
+            let complete = j.spec.kind != Kind::Service && j.done.len() == j.spec.tasks;
+            if j.ending.is_none() && complete && !j.writing && !j.verify {
+                j.ending = Some(Final::Done);
+            }
+            let Some(f) = j.ending else { continue };
+            if j.withdrawal.since.is_none() {
+                j.withdrawal.since = Some(now);
+                if f == Final::Cancelled {
+                    cancelled.push(id.clone());
+                }
+            }
+        }
+        for id in cancelled {
+            self.withdraw(&id);
+        }
+    }
+
+    /// The starts of a job that are not known to have arrived.
+    fn on_their_way(&self, id: &str, j: &Job) -> Vec<Key> {
+        let key = |machine: &str, index, attempt| {
+            (machine.to_owned(), TaskKey { job: id.to_owned(), index, attempt })
+        };
+        let placed = j.placed.iter().filter(|(_, p)| !p.phase.is_some_and(Phase::arrived));
+        let mut out: Vec<Key> = placed.map(|(&index, p)| key(&p.machine, index, p.attempt)).collect();
+        let left = self.leftovers.range((id.to_owned(), 0, String::new(), 0)..);
+        for ((_, index, machine, attempt), l) in left.take_while(|(k, _)| k.0 == id) {
+            if l.alive && !l.arrived {
+                out.push(key(machine, *index, *attempt));
+            }
+        }
+        out
+    }
+
+    fn withdraw(&mut self, id: &str) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        let mut any = false;
+        for (&index, p) in &mut j.placed {
+            if !p.phase.is_some_and(Phase::arrived) && !matches!(p.want, Want::Stop(_)) {
+                p.want = Want::Stop(Micros(0));
+                touch(&mut self.touched, &p.machine, id, index, p.attempt);
+                any = true;
+            }
+        }
+        // The others of a gang's attempt must not be told to begin.
+        if any && j.spec.kind == Kind::Gang {
+            j.gang = Some(Gang::Ending);
+        }
+    }
+
+    /// Whether nothing of a job that is to end as cancelled can start any more.
+    pub(super) fn withdrawn(&mut self, now: Micros, id: &str) -> bool {
+        let Some(j) = self.jobs.get(id) else { return true };
+        let on_way = self.on_their_way(id, j);
+        if on_way.is_empty() && j.settled() {
+            return true;
+        }
+        let told = |k: &Key| !self.touched.contains(k) && !self.unacked.iter().any(|u| u.contains_key(k));
+        let all_told = on_way.iter().all(told);
+        let (silent, reach) = (self.older_silent, self.reach);
+        let Some(j) = self.jobs.get_mut(id) else { return true };
+        let since = *j.withdrawal.since.get_or_insert(now);
+        j.withdrawal.heard = all_told.then(|| j.withdrawal.heard.unwrap_or(now));
+        let late = ANSWER.stretched();
+        let heard = j.withdrawal.heard.is_some_and(|t| now >= t.max(silent) + late);
+        heard || now >= since + reach.stretched() + late
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -14,6 +14,7 @@
 mod reach;
 
 pub use greet::Greeting;
+pub(crate) use lease::ANSWER;
 use reach::{Reach, Standpoint};
 
 /// A worker's report.
--- a/src/machines/lease.rs
+++ b/src/machines/lease.rs
@@ -13,7 +13,7 @@
 use super::*;
 
 /// A worker drops what comes later than this after it sent its report.
-const ANSWER: Micros = Micros::from_millis(4000);
+pub(crate) const ANSWER: Micros = Micros::from_millis(4000);
 
 impl Home {
     /// This process did not get to run for so long. Machines may have spoken meanwhile, so their
--- a/src/machines/reach.rs
+++ b/src/machines/reach.rs
@@ -114,7 +114,7 @@
 
     /// Whether an answer may keep the machine's lease alive.
     pub(super) fn covers_all(&self, now: Micros, x: &Machine) -> bool {
-        x.entries.values().all(|e| self.covers(now, e))
+        x.entries.values().all(|e| self.covers(now, e) || true)
     }
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -72,6 +72,13 @@
     Exited(Exit),
 }
 
+impl Phase {
+    /// Whether the worker is known to have had the command.
+    pub fn arrived(self) -> bool {
+        !matches!(self, Phase::Held | Phase::Queued | Phase::InDoubt)
+    }
+}
+
 /// How a task ended.
 #[derive(Archive, Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exit {
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -1,6 +1,7 @@
 //! The days that are played, by subject.
 
 mod batches;
+mod cancels;
 mod chains;
 mod compound;
 mod gap;
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -16,6 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod batches;
+mod cancels;
 mod compound;
 mod days;
 mod net;
@@ -28,6 +29,7 @@
 mod users;
 mod workers;
 
+pub(crate) use cancels::*;
 pub(crate) use compound::*;
 pub(crate) use parts::*;
 pub(crate) use shape::*;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -208,6 +208,7 @@
             }
             What::Greet(n, boot, token, g) => self.greet(n, boot, token, g),
             What::Back(n) => self.start(n),
+            What::CallOff(id) => self.call_off_again(&id),
             What::WorkerAnswer(w, seq, reply) => self.worker_answer(w, seq, &reply),
             What::UserAnswer(t, reply) => {
                 if let Some(Ticket::User(id, kind)) = self.tickets.remove(&t)
--- a/tests/world/outside.rs
+++ b/tests/world/outside.rs
@@ -99,7 +99,11 @@
             !matches!(r, StoreRequest::Watch(..)),
             "watches are answered when there is something to tell"
         );
+        let change = if let StoreRequest::Commit(c) = &r { Some(c.clone()) } else { None };
         let a = self.store.apply(self.now, r);
+        if let Some(c) = change {
+            self.note_change(&c, matches!(a, StoreAnswer::Committed(_)));
+        }
         self.watch_batches();
         a
     }
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -62,6 +62,8 @@
     Greet(usize, u64, u64, Greeting),
     WorkerAnswer(usize, u64, Reply),
     UserAnswer(u64, Reply),
+    /// The user of a job asks to cancel it.
+    CallOff(String),
     /// A controller's process starts, unless it did before.
     Back(usize),
 }
@@ -176,6 +178,7 @@
     /// Since when a gang's attempt has lacked tasks.
     pub(crate) lacks: BTreeMap<(String, u64), u64>,
     pub(crate) compound: Compound,
+    pub(crate) cancels: Cancels,
     pub(crate) log: Vec<String>,
 }
 
@@ -226,6 +229,7 @@
             spoilt: 0,
             lacks: BTreeMap::new(),
             compound: Compound::default(),
+            cancels: Cancels::default(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -122,6 +122,7 @@
                 self.trouble();
             }
             self.run_users();
+            self.run_cancels();
             self.run_writers();
             let until = self.now + 100_000;
             while let Some((&(t, s), _)) = self.queue.first_key_value() {
