--- a/src/node/users/tests.rs
+++ b/src/node/users/tests.rs
@@ -145,6 +145,8 @@
     let (read, _) = Told::asked(&mut n, 1, query(&id)).reads.remove(0);
     let (accept, _) = Told::asked(&mut n, 2, submit(&id)).commits.remove(0);
     assert_eq!(Told::by(&mut n, Event::Store(read, live(&id, 9))).one(), (1, 200, "pending".into()));
+    // The epoch stands, so nobody else can have started it.
+    n.owner.epoch_stands(NOW + Micros(1));
     assert!(Told::asked(&mut n, 3, UserRequest::Withdraw(id.clone())).answers.is_empty());
     let (_, end, mark) = n.owner.next_write(NOW, true).expect("its end is due");
     let mut out = Vec::new();
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -16,6 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod batches;
+mod cancels;
 mod compound;
 mod days;
 mod looks;
@@ -32,6 +33,7 @@
 mod workers;
 mod zones;
 
+pub(crate) use cancels::*;
 pub(crate) use compound::*;
 pub(crate) use looks::*;
 pub(crate) use lost::*;
--- a/tests/world/outside.rs
+++ b/tests/world/outside.rs
@@ -99,13 +99,14 @@
             !matches!(r, StoreRequest::Watch(..)),
             "watches are answered when there is something to tell"
         );
-        let put: Vec<String> = match &r {
-            StoreRequest::Commit(c) => c.puts.iter().map(|p| p.0.clone()).collect(),
-            _ => Vec::new(),
-        };
+        let change = if let StoreRequest::Commit(c) = &r { Some(c.clone()) } else { None };
         let a = self.store.apply(self.now, r);
-        if matches!(a, StoreAnswer::Committed(_)) {
-            put.iter().for_each(|key| self.vet_record(key));
+        if let Some(c) = change {
+            let done = matches!(a, StoreAnswer::Committed(_));
+            if done {
+                c.puts.iter().for_each(|(key, ..)| self.vet_record(key));
+            }
+            self.note_change(&c, done);
         }
         self.watch_batches();
         self.note_epoch();
--- a/tests/world/register.rs
+++ b/tests/world/register.rs
@@ -54,6 +54,12 @@
     pub(crate) fn knows(&self, job: &str) -> (bool, bool) {
         self.cells.get(job).map_or((false, false), |c| (c.accepted.is_some(), c.end.is_some()))
     }
+
+    /// A test puts the end of a job on record that somebody submitted, and cancelled, before the world began.
+    pub(crate) fn ended_before(&mut self, job: &str) {
+        let cell = self.cells.entry(job.to_owned()).or_default();
+        (cell.offered, cell.withdrawn) = (true, true);
+    }
 }
 
 impl World {
