--- a/tests/world/days/lost.rs
+++ b/tests/world/days/lost.rs
@@ -67,7 +67,7 @@
 }
 
 fn add_up(all: &mut BTreeMap<Carried, Count>, w: &World, kind: Write, carried: Carried) {
-    let (c, sum) = (w.lost.count(kind, carried), all.entry(carried).or_insert(Count::default()));
+    let (c, sum) = (w.lost.count(kind, carried), all.entry(carried).or_default());
     sum.asked += c.asked;
     sum.applied += c.applied;
     sum.took += c.took;
@@ -282,7 +282,7 @@
                 Ends::Owner => of_task.or(home(w, i)),
                 Ends::All => None,
             };
-            let pause = if seed % 2 == 0 { S / 20..S / 10 } else { 8 * S..12 * S };
+            let pause = if seed.is_multiple_of(2) { S / 20..S / 10 } else { 8 * S..12 * S };
             match n {
                 Some(n) => w.crash_for(n, pause),
                 None => (0..3).for_each(|n| w.crash_for(n, pause.clone())),
@@ -402,7 +402,7 @@
                 1 => w.workers[some[0]].tasks.first().and_then(|t| owner(w, &t.job)),
                 _ => None,
             };
-            let pause = if seed % 2 == 0 { S / 20..S / 10 } else { 8 * S..12 * S };
+            let pause = if seed.is_multiple_of(2) { S / 20..S / 10 } else { 8 * S..12 * S };
             match n {
                 Some(n) => w.crash_for(n, pause),
                 None => (0..3).for_each(|n| w.crash_for(n, pause.clone())),
--- a/tests/world/days/zones.rs
+++ b/tests/world/days/zones.rs
@@ -119,7 +119,7 @@
             let ids = long_jobs(w, 10, 110 * S);
             w.run(0, 40 * S);
             let epoch = w.epoch();
-            for i in 0..10 {
+            for (i, id) in ids.iter().enumerate() {
                 if seed % 2 == 1 && i == 3 {
                     w.outage_until = w.now + w.rng.random_range(24 * S..50 * S);
                 }
@@ -133,7 +133,7 @@
                 }
                 pass(w, 0, 2 * S);
                 let p = w.rng.random_range(0..3);
-                w.withdraw(p, &ids[i]);
+                w.withdraw(p, id);
                 let until = 40 * S + (i as u64 + 1) * 12 * S;
                 w.run(0, until);
             }
--- a/tests/world/lost.rs
+++ b/tests/world/lost.rs
@@ -361,7 +361,7 @@
         self.lost.epoch = epoch;
         for (i, report) in std::mem::take(&mut self.lost.kept) {
             if self.rng.random_bool(0.5) {
-                self.to_everybody(i, &report);
+                self.deliver_to_everybody(i, &report);
             } else {
                 self.lost.held.push((epoch, i, report));
             }
@@ -376,11 +376,11 @@
         // The epoch is an attempt's head.
         let epoch = attempt >> 24;
         for (_, i, report) in self.lost.held.extract_if(.., |h| h.0 <= epoch).collect::<Vec<_>>() {
-            self.to_everybody(i, &report);
+            self.deliver_to_everybody(i, &report);
         }
     }
 
-    fn to_everybody(&mut self, i: usize, report: &Report) {
+    fn deliver_to_everybody(&mut self, i: usize, report: &Report) {
         for n in 0..3 {
             let soon = self.rng.random_range(1..3 * S / 10);
             self.later(soon, What::KeptReport(i, n, report.clone()));
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -86,7 +86,7 @@
                 }
                 Some(Ticket::Worker(w, seq)) => {
                     self.note_answer(n, w, &reply);
-                    if let Some(d) = self.to_worker(n, w) {
+                    if let Some(d) = self.worker_reached_in(n, w) {
                         self.later(d, What::WorkerAnswer(w, seq, reply));
                     }
                 }
@@ -177,7 +177,7 @@
             Effect::Greet(token, list) => {
                 for g in list {
                     let Some(i) = self.workers.iter().position(|w| w.name == g.machine) else { continue };
-                    if let Some(d) = self.to_worker(n, i) {
+                    if let Some(d) = self.worker_reached_in(n, i) {
                         self.later(d, What::Greet(n, boot, token, g));
                     }
                 }
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -49,7 +49,7 @@
         w.seq += 1;
         let report = w.report();
         self.lost.spoken += usize::from(now < w.mute_until);
-        if let Some(d) = self.from_worker(i, n) {
+        if let Some(d) = self.worker_heard_in(i, n) {
             self.later(d, What::Node(n, boot, Event::Greeted(report)));
         }
     }
@@ -258,7 +258,7 @@
                 self.tickets.insert(ticket, Ticket::Worker(i, seq));
                 self.copy_report(i, target, &report);
                 self.keep_report(i, &report);
-                if let Some(d) = self.from_worker(i, target) {
+                if let Some(d) = self.worker_heard_in(i, target) {
                     self.later(d, What::Node(target, 0, Event::Report(ticket, report)));
                 }
             }
--- a/tests/world/zones.rs
+++ b/tests/world/zones.rs
@@ -68,7 +68,7 @@
         }
     }
 
-    /// The same between two ends. Workers are in many zones: see `to_worker`.
+    /// The same between two ends. Workers are in many zones: see `worker_reached_in`.
     pub(crate) fn across_zones(&self, a: End, b: End) -> Option<u64> {
         let place = |e: End| match e {
             End::Node(n) => Some(SEATS[n]),
@@ -78,13 +78,13 @@
     }
 
     /// When a controller's message to a worker arrives, if it does.
-    pub(crate) fn to_worker(&mut self, n: usize, i: usize) -> Option<u64> {
+    pub(crate) fn worker_reached_in(&mut self, n: usize, i: usize) -> Option<u64> {
         let delay = self.travel(End::Node(n), End::Workers)?;
         Some(delay + self.across(Some(SEATS[n]), Some(&self.workers[i].zone))?)
     }
 
     /// When a worker's message to a controller arrives, if it does.
-    pub(crate) fn from_worker(&mut self, i: usize, n: usize) -> Option<u64> {
+    pub(crate) fn worker_heard_in(&mut self, i: usize, n: usize) -> Option<u64> {
         let delay = self.travel(End::Workers, End::Node(n))?;
         let more = self.across(Some(&self.workers[i].zone), Some(SEATS[n]));
         self.zones.stopped[0] += usize::from(more != Some(0));
