Owners: only a job that is to end has starts that are withdrawn, not refused

The change that withdraws starts took every start that was stopped and never arrived for withdrawn, also those of a gang's attempt that is given up. Where a home refuses one, the others count as refusals again, as before.

--- a/src/jobs/sync.rs
+++ b/src/jobs/sync.rs
@@ -366,8 +366,9 @@
         let Some(j) = self.jobs.get_mut(id) else { return };
         let Some(p) = j.placed.remove(&idx) else { return };
         let gang = j.spec.kind == Kind::Gang;
-        if matches!(p.want, Want::Stop(_)) {
-            tracing::debug!(job = id, task = idx, machine = %p.machine, reason = why, "stopped task gone");
+        // What was withdrawn from a home, since its job is to end, was not refused by it.
+        if j.ending.is_some() {
+            tracing::debug!(job = id, task = idx, machine = %p.machine, reason = why, "withdrawn");
         } else if why == "refused" {
             j.not_before = j.not_before.max(now + Micros::from_millis(200));
             self.refusals.note(&p.machine, false);
