Placing: a borrowed gang that is due keeps machines that it may not empty

Cause: borrowed gangs counted only machines whose work they may have stopped.

Change: once due, a gang keeps machines also where work of its rank or below runs; that runs out, and nothing of its rank follows it there.

Run (default test profile): tests/placing.rs 3 of 4 before, 4 of 4 after. Unit tests 119 of 119.

--- a/src/jobs/keeping.rs
+++ b/src/jobs/keeping.rs
@@ -167,7 +167,7 @@
         }
         let inherited = if j.keeps.is_empty() { self.others.kept_before(now, s.room) } else { Vec::new() };
         let before = if j.keeps.is_empty() { &inherited } else { &j.keeps };
-        let (names, open) = keep_places(places, s, j.footing, before, &k.taken);
+        let (names, open) = keep_places(places, s, j.footing, due, before, &k.taken);
         k.kept += open;
         let mut out = Vec::new();
         if age >= self.patience(s) {
@@ -199,17 +199,23 @@
 
 /// Keeps machines that a waiting gang could use from less urgent work, so that the room its tasks
 /// need can come together: those kept already, if they will do, else those where the least has to
-/// go. Nothing is kept if the gang would not fit even then. Returns which, and how many of them other work could use.
+/// go. One that is `due` also keeps those where work runs that is no more urgent and that it may not stop. Nothing is
+/// kept if the gang would not fit even then. Returns which, and how many of them other work could use.
 pub(super) fn keep_places(
     places: &mut [Place],
     s: &Spec,
     footing: Footing,
+    due: bool,
     before: &[String],
     taken: &BTreeSet<String>,
 ) -> (Vec<String>, usize) {
     let mut zones: BTreeMap<String, Vec<usize>> = BTreeMap::new();
     // What lies within a guarantee may have borrowed work of any rank stopped, borrowed work may not.
+    // Guards against a gang that is overtaken for ever: later ones of its rank, which it may not stop, went to each
+    // machine that came free while too few were without any. Once due it keeps those too; what is there runs out.
     let could = |p: &Place| match footing {
+        Footing::Beyond if due => p.free_in_time(s.priority % GUARANTEED),
+        _ if due => p.free_for(s.priority + 1),
         Footing::Beyond => p.free_for_borrowed(s.priority),
         _ => p.free_for(s.priority),
     };
@@ -343,7 +349,7 @@
         let machines: Vec<MachineDigest> = (0..40).map(|i| machine(i, "a", &[(0, 4000)])).collect();
         let keep = |taken: usize| {
             let taken = (0..taken).map(|i| format!("i-{i:02}")).collect();
-            keep_places(&mut places(&machines), &gang(24, 1), Footing::Unpromised, &[], &taken).0
+            keep_places(&mut places(&machines), &gang(24, 1), Footing::Unpromised, false, &[], &taken).0
         };
         assert_eq!(keep(0).len(), 24);
         assert!(keep(16).iter().all(|n| n.as_str() >= "i-16") && keep(16).len() == 24);
@@ -357,13 +363,20 @@
             machine(1, "a", &[(0, 15_000)]),
             machine(2, "a", &[(10, 9000)]),
         ];
-        let keep =
-            |footing| keep_places(&mut places(&machines), &gang(1, 11), footing, &[], &BTreeSet::new()).0;
-        let all = |tasks, footing| {
-            keep_places(&mut places(&machines), &gang(tasks, 11), footing, &[], &BTreeSet::new()).0.len()
+        let keep = |footing| {
+            keep_places(&mut places(&machines), &gang(1, 11), footing, false, &[], &BTreeSet::new()).0
         };
+        let keeps = |tasks, footing, due| {
+            keep_places(&mut places(&machines), &gang(tasks, 11), footing, due, &[], &BTreeSet::new()).0.len()
+        };
+        let all = |tasks, footing| keeps(tasks, footing, false);
         assert_eq!(keep(Footing::Within), ["i-02"], "where the least is on it");
         assert_eq!((all(3, Footing::Within), all(3, Footing::Beyond), all(2, Footing::Beyond)), (3, 0, 2));
+        assert_eq!(
+            keeps(3, Footing::Beyond, true),
+            3,
+            "what it may not stop runs out: it is not overtaken again"
+        );
     }
 
     /// While a gang's new owner learns what the gang had running, small work would fill its machines.
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -39,7 +39,12 @@
         let stays = self.machine.by_priority.iter().filter(|(p, _)| *p >= priority);
         stays.fold(self.machine.total - self.unseen, |a, (_, r)| a - *r)
     }
-    /// The same for work that borrows: it may not stop other borrowed work of its own rank or above.
+    /// Room there will be once all that is no more urgent than this rank has ended by itself, whoever is guaranteed it.
+    pub fn free_in_time(&self, rank: u8) -> Room {
+        let stays = self.machine.by_priority.iter().filter(|(p, _)| p % GUARANTEED > rank);
+        stays.fold(self.machine.total - self.unseen, |a, (_, r)| a - *r)
+    }
+    /// What work that borrows can have at once: it may not stop other borrowed work of its own rank or above.
     pub fn free_for_borrowed(&self, priority: u8) -> Room {
         let rank = priority % GUARANTEED;
         let stays = |p: u8| p >= priority || (rank..GUARANTEED).contains(&p);
