World: direct commands that are late, after those of a newer leader

Change: the trouble late_commands (share, time): that share of direct commands is unanswered and taken once, 2 to 16 s late, if token and session match. It is drawn in the pairs. The world asserts on each late command that its token is no newer than the newest epoch on record.

--- a/tests/world/compound.rs
+++ b/tests/world/compound.rs
@@ -61,9 +61,11 @@
     /// Jobs that run are called off within a fifth of a second; with the second, some of their machines hang.
     CancelNow,
     CancelNowHang,
+    /// Direct commands come late, after those of a newer leader.
+    LateCommands,
 }
 
-pub(crate) const TROUBLES: [Trouble; 29] = [
+pub(crate) const TROUBLES: [Trouble; 30] = [
     Trouble::Restart,
     Trouble::RestartAll,
     Trouble::Leave,
@@ -93,6 +95,7 @@
     Trouble::MachinesMute,
     Trouble::CancelNow,
     Trouble::CancelNowHang,
+    Trouble::LateCommands,
 ];
 
 /// A user was told that a job is cancelled.
@@ -415,6 +418,10 @@
             Trouble::CancelNowHang => {
                 self.cancel_now(CALLED_OFF, long);
             }
+            Trouble::LateCommands => {
+                let share = self.rng.random_range(0.2..1.0);
+                self.late_commands(share, long);
+            }
         }
     }
 
@@ -450,6 +457,7 @@
             self.looks.over_at(),
             self.lost.until(),
             self.zones.until(),
+            self.commands.until(),
         ];
         let ends = ends.into_iter().chain(c.refused).chain(self.hung.iter().copied());
         let ends = ends.chain(c.ways.iter().map(|w| w.until)).chain(self.cuts.iter().map(|c| c.2));
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -3,6 +3,7 @@
 mod batches;
 mod cancels;
 mod chains;
+mod commands;
 mod compound;
 mod gap;
 mod loans;
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -17,6 +17,7 @@
 
 mod batches;
 mod cancels;
+mod commands;
 mod compound;
 mod days;
 mod looks;
@@ -34,6 +35,7 @@
 mod zones;
 
 pub(crate) use cancels::*;
+pub(crate) use commands::*;
 pub(crate) use compound::*;
 pub(crate) use looks::*;
 pub(crate) use lost::*;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -178,7 +178,7 @@
                 for g in list {
                     let Some(i) = self.workers.iter().position(|w| w.name == g.machine) else { continue };
                     if let Some(d) = self.worker_reached_in(n, i) {
-                        self.later(d, What::Greet(n, boot, token, g));
+                        self.send_command(n, token, g, d);
                     }
                 }
             }
@@ -229,6 +229,7 @@
                 }
             }
             What::Greet(n, boot, token, g) => self.greet(n, boot, token, g),
+            What::LateCommand(n, boot, token, g) => self.late_command(n, boot, token, g),
             What::Back(n) => self.start(n),
             What::CallOff(id) => self.call_off_again(&id),
             What::WorkerAnswer(w, seq, reply) => self.worker_answer(w, seq, &reply),
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -67,7 +67,9 @@
     /// A process that was told to leave ends, and is back at once.
     End(usize, u64),
     Cloud(usize, u64, CloudRequest),
+    /// A direct command, its token; and one that was held up on its way.
     Greet(usize, u64, u64, Greeting),
+    LateCommand(usize, u64, u64, Greeting),
     WorkerAnswer(usize, u64, Reply),
     UserAnswer(u64, Reply),
     /// A user who looks closely sends a request.
@@ -197,6 +199,7 @@
     pub(crate) lost: Lost,
     pub(crate) zones: Zones,
     pub(crate) cancels: Cancels,
+    pub(crate) commands: Commands,
     pub(crate) log: Vec<String>,
 }
 
@@ -253,6 +256,7 @@
             lost: Lost::default(),
             zones: Zones::default(),
             cancels: Cancels::default(),
+            commands: Commands::default(),
             log: Vec::new(),
         };
         for i in 0..shape.machines {
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -29,29 +29,41 @@
 impl World {
     /// A worker is told a token directly, and answers with its report.
     pub(crate) fn greet(&mut self, n: usize, boot: u64, token: u64, g: Greeting) {
+        let now = self.now;
+        let Some(i) = self.worker_that_hears(&g) else { return };
+        // One that hangs takes it when it goes on.
+        let hung = self.workers[i].hung_until;
+        if hung > now {
+            return self.later(hung - now, What::Greet(n, boot, token, g));
+        }
+        let report = self.commanded(i, token, &g);
+        self.lost.spoken += usize::from(now < self.workers[i].mute_until);
+        if let Some(d) = self.worker_heard_in(i, n) {
+            self.later(d, What::Node(n, boot, Event::Greeted(report)));
+        }
+    }
+
+    /// The worker that a direct command comes to, unless nobody is there or hears it.
+    pub(crate) fn worker_that_hears(&mut self, g: &Greeting) -> Option<usize> {
         let now = self.now;
         let there = |w: &Worker| w.name == g.machine && !w.gone && !w.dead && now >= w.up_at;
-        let Some(i) = self.workers.iter().position(there) else { return };
-        let w = &mut self.workers[i];
-        if now < w.deaf_until {
+        let i = self.workers.iter().position(there)?;
+        if now < self.workers[i].deaf_until {
             self.compound.unheard += 1;
-            return;
-        }
-        // One that hangs takes it when it goes on.
-        if w.hung_until > now {
-            let delay = w.hung_until - now;
-            return self.later(delay, What::Greet(n, boot, token, g));
+            return None;
         }
+        Some(i)
+    }
+
+    /// A worker takes a direct command if token and session match, and answers with its report.
+    pub(crate) fn commanded(&mut self, i: usize, token: u64, g: &Greeting) -> Report {
+        let w = &mut self.workers[i];
         if w.session == g.session && token >= w.token {
             w.changed |= token > w.token;
             w.token = token;
         }
         w.seq += 1;
-        let report = w.report();
-        self.lost.spoken += usize::from(now < w.mute_until);
-        if let Some(d) = self.worker_heard_in(i, n) {
-            self.later(d, What::Node(n, boot, Event::Greeted(report)));
-        }
+        w.report()
     }
 
     pub(crate) fn worker_answer(&mut self, i: usize, seq: u64, reply: &Reply) {
