Owners: ends wait in a queue, and only jobs that changed are looked at

Cause: whether jobs are to end was worked out over all jobs at each look for a change and again in each placing pass, and the ids of all due ends were sorted and copied for each end that was written.

Change: jobs that were cancelled, completed a task or were read are noted; ends wait in a queue ordered by kind, age and id. All cancellations go through `Owner::cancel`. The order of ends and what holds one up are as before. Tests cancel through it instead of setting the field.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -200,6 +200,7 @@
     pub alone: bool,
     /// Something changed that may let a task be placed.
     pub replan: bool,
+    endings: withdrawal::Endings,
     blame: Blame,
     waiting: Waiting,
     /// Every end says its job's class: what is upstream of a merge must be known by it.
@@ -270,6 +271,7 @@
             loaded: false,
             alone: true,
             replan: true,
+            endings: withdrawal::Endings::default(),
             blame: Blame::default(),
             waiting: Waiting::default(),
             keep_class: s.operators.freshness.is_some(),
@@ -316,6 +318,7 @@
             stays
         });
         self.keep_waiting();
+        self.endings.keep(&self.jobs);
         self.leftovers.retain(|(id, ..), _| follows && m.job_owner(id) == Some(m.me));
         self.finals.clear();
         self.finals_order.clear();
@@ -456,6 +459,8 @@
             raw,
         };
         self.jobs.insert(id.clone(), job);
+        // All its tasks may be done on record.
+        self.endings.changed(&id);
         self.vouching.jobs_changed = true;
         self.note_waiting(&id);
         self.replan = true;
@@ -488,6 +493,7 @@
         self.prerequisite_ended(id, f);
         let Some(j) = self.jobs.remove(id) else { return };
         self.vouching.jobs_changed = true;
+        self.endings.ended(id, &j);
         self.forget_waiting(id, &j);
         self.blame.forget(id);
         tracing::info!(job = id, end = ?f, tasks = j.spec.tasks, "job ended");
@@ -534,6 +540,7 @@
             }
             Kind::Service => {}
         }
+        self.endings.changed(id);
         self.replan = true;
     }
 
@@ -819,7 +826,7 @@
         let (m, teams, mut owner, machine) = owner_of(raw("batch", 3, 0.0));
         let now = Micros::from_millis(1000);
         owner.digest(now, &m, 0, whole(&m, 1, 0, vec![machine]));
-        owner.jobs.get_mut("wk-1").expect("live").ending = Some(Final::Cancelled);
+        assert!(owner.cancel("wk-1"));
         owner.plan(now, now, &m, &teams);
         assert!(owner.wanted(0, &m).list.is_empty());
     }
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -300,9 +300,8 @@
                 }
                 // It stays a waiting job until its own end is on record.
                 Final::Cancelled => {
-                    if j.ending.is_none() {
+                    if self.cancel(&id) {
                         tracing::info!(job = %id, needs = prerequisite, "cancelled with a job that it needs");
-                        j.ending = Some(Final::Cancelled);
                     }
                 }
             }
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -76,29 +76,34 @@
         if !self.alone {
             return None;
         }
-        let due = |j: &Job| !j.writing && !j.verify && now >= j.next_write;
-        let ends = self.jobs.iter().filter(|(_, j)| due(j));
-        let mut ends: Vec<(bool, Option<Micros>, &String)> = ends
-            .filter_map(|(id, j)| Some((j.ending? != Final::Cancelled, j.withdrawal.since, id)))
-            .collect();
-        ends.sort_unstable();
-        let ends: Vec<(bool, String)> = ends.into_iter().map(|(done, _, id)| (done, id.clone())).collect();
-        for (done, id) in ends {
+        let (mut next, mut over) = (None, Vec::new());
+        let queue = std::mem::take(&mut self.endings.queue);
+        for entry @ (done, _, id) in &queue {
+            let Some(j) = self.jobs.get(id) else {
+                over.push(entry.clone());
+                continue;
+            };
             // Guards against a start after the user was told that the job is cancelled: one that waits at a home, or is on
             // its way to a worker.
-            if !done && !self.withdrawn(now, &id) {
-                continue;
-            }
-            let Some(j) = self.jobs.get_mut(&id) else { continue };
-            let Some(f) = j.ending else { continue };
-            j.writing = true;
-            let mut value = Owner::end_record(&j.raw, f, j.done.len());
-            if self.keep_class && value.get("says").is_none() {
-                value["says"] = json!({"breed": j.spec.class});
+            let due = !j.writing && !j.verify && now >= j.next_write && (*done || self.withdrawn(now, id));
+            if due {
+                next = Some(id.clone());
+                break;
             }
-            return Some((id, RecordWrite::End(f, value), j.mark));
         }
-        None
+        self.endings.queue = queue;
+        over.iter().for_each(|entry| {
+            self.endings.queue.remove(entry);
+        });
+        let id = next?;
+        let j = self.jobs.get_mut(&id)?;
+        let f = j.ending?;
+        j.writing = true;
+        let mut value = Owner::end_record(&j.raw, f, j.done.len());
+        if self.keep_class && value.get("says").is_none() {
+            value["says"] = json!({"breed": j.spec.class});
+        }
+        Some((id, RecordWrite::End(f, value), j.mark))
     }
 
     fn next_progress(&mut self, now: Micros) -> Option<(String, RecordWrite, u64)> {
--- a/src/jobs/withdrawal.rs
+++ b/src/jobs/withdrawal.rs
@@ -22,6 +22,32 @@
     heard: Option<Micros>,
 }
 
+/// Jobs that are to end, so that no pass over all jobs looks for them.
+#[derive(Debug, Default)]
+pub(super) struct Endings {
+    /// Jobs that may have become complete, or were cancelled, since that was last noted.
+    changed: BTreeSet<String>,
+    /// Whether they are done, since when they are to end, and which: in the order in which ends go on record.
+    pub(super) queue: BTreeSet<(bool, Micros, String)>,
+}
+
+impl Endings {
+    pub(super) fn changed(&mut self, id: &str) {
+        self.changed.insert(id.to_owned());
+    }
+
+    pub(super) fn keep(&mut self, jobs: &BTreeMap<String, Job>) {
+        self.changed.retain(|id| jobs.contains_key(id));
+        self.queue.retain(|(.., id)| jobs.contains_key(id));
+    }
+
+    pub(super) fn ended(&mut self, id: &str, j: &Job) {
+        if let (Some(f), Some(since)) = (j.ending, j.withdrawal.since) {
+            self.queue.remove(&(f != Final::Cancelled, since, id.to_owned()));
+        }
+    }
+}
+
 impl Withdrawal {
     /// A new epoch: machines may have other homes.
     pub(super) fn anew(&mut self) {
@@ -30,25 +56,36 @@
 }
 
 impl Owner {
+    /// A live job is to end as cancelled, unless it is to end already. Says whether that is new.
+    pub fn cancel(&mut self, id: &str) -> bool {
+        let Some(j) = self.jobs.get_mut(id).filter(|j| j.ending.is_none()) else { return false };
+        j.ending = Some(Final::Cancelled);
+        self.endings.changed(id);
+        true
+    }
+
     /// Takes note of jobs that are to end, and withdraws what cancelled ones have on their way.
     pub(super) fn note_endings(&mut self, now: Micros) {
-        let mut cancelled = Vec::new();
-        for (id, j) in &mut self.jobs {
+        for id in std::mem::take(&mut self.endings.changed) {
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
             let complete = j.spec.kind != Kind::Service && j.done.len() == j.spec.tasks;
-            if j.ending.is_none() && complete && !j.writing && !j.verify {
+            if j.ending.is_none() && complete {
+                // While its record is written or read it is looked at again.
+                if j.writing || j.verify {
+                    self.endings.changed.insert(id);
+                    continue;
+                }
                 j.ending = Some(Final::Done);
             }
             let Some(f) = j.ending else { continue };
             if j.withdrawal.since.is_none() {
                 j.withdrawal.since = Some(now);
+                self.endings.queue.insert((f != Final::Cancelled, now, id.clone()));
                 if f == Final::Cancelled {
-                    cancelled.push(id.clone());
+                    self.withdraw(&id);
                 }
             }
         }
-        for id in cancelled {
-            self.withdraw(&id);
-        }
     }
 
     /// The starts of a job that are not known to have arrived.
--- a/src/jobs/withdrawal/tests.rs
+++ b/src/jobs/withdrawal/tests.rs
@@ -20,7 +20,7 @@
 }
 
 fn cancel(owner: &mut Owner) {
-    owner.jobs.get_mut("wk-1").expect("live").ending = Some(Final::Cancelled);
+    assert!(owner.cancel("wk-1"));
 }
 
 fn ends(owner: &mut Owner, now: Micros) -> bool {
@@ -159,9 +159,7 @@
     ["wk-2", "wk-3", "wk-4"].into_iter().for_each(&mut add);
     let mut next = |done: &[&str], cancelled: &[&str], now: u64| {
         done.iter().for_each(|id| owner.complete(id, 0));
-        cancelled.iter().for_each(|id| {
-            owner.jobs.get_mut(*id).expect("live").ending = Some(Final::Cancelled);
-        });
+        cancelled.iter().for_each(|id| assert!(owner.cancel(id)));
         let next = owner.next_write(at(now), true);
         next.map(|(id, ..)| {
             owner.ended(&id, Final::Done);
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -169,10 +169,9 @@
     ) -> Option<Reply> {
         let id = r.job().to_owned();
         if let UserRequest::Withdraw(_) = &r
-            && let Some(j) = self.owner.jobs.get_mut(&id)
+            && self.owner.jobs.contains_key(&id)
         {
-            if j.ending.is_none() {
-                j.ending = Some(Final::Cancelled);
+            if self.owner.cancel(&id) {
                 tracing::info!(job = %id, "cancellation asked for");
             }
             self.withdrawing.entry(id).or_default().push(from);
