--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -100,6 +100,7 @@
         }
         let raw: Value = serde_json::from_str(body).unwrap_or(Value::Null);
         let Ok(spec) = Spec::from_value(&raw) else { return false };
+        let raw = trimmed(&raw, &spec);
         if self.never(&raw, &spec).is_some() || self.not_yet(&spec).is_some() {
             return false;
         }
@@ -211,6 +212,7 @@
                 if self.fleet.types.is_empty() {
                     return Some(Reply::later("machine types are not known yet"));
                 }
+                let raw = trimmed(&raw, &spec);
                 let open = self.not_yet(&spec).is_none();
                 if open && self.never(&raw, &spec).is_none() {
                     return self.accept(now, from, id, spec, raw, out);
@@ -246,8 +248,8 @@
         self.ask_store(Purpose::Lookup(id.to_owned(), number), StoreRequest::Get(format!("job/{id}")), out);
     }
 
-    /// Why a job can never run here, if so. Nobody is told before its record was looked for: a repeated submission may have
-    /// another body than the first, which was taken.
+    /// Why a job can never run here, if so, by its trimmed description. Nobody is told before its record was looked for: a
+    /// repeated submission may have another body than the first, which was taken.
     fn never(&self, raw: &Value, spec: &Spec) -> Option<String> {
         if let Err(e) = spec.check(&self.fleet.types, &self.settings.teams) {
             return Some(e.to_string());
@@ -255,7 +257,7 @@
         let limit = self.settings.value_bytes;
         // The night is filled in later.
         let night = if spec.release.as_ref().is_some_and(|r| r.night.is_none()) { 32 } else { 0 };
-        if Owner::longest(&trimmed(raw, spec), spec, self.wall) + night > limit {
+        if Owner::longest(raw, spec, self.wall) + night > limit {
             return Some(format!(
                 "the description is too long to be kept: its record may have {limit} bytes"
             ));
@@ -266,7 +268,8 @@
         None
     }
 
-    /// Begins to put a job on record that can run, as far as [`Node::never`] tells.
+    /// Begins to put a job on record that can run, as far as [`Node::never`] tells, by its trimmed description: a body with
+    /// superfluous fields must not make a record that the store won't take.
     pub(super) fn accept(
         &mut self,
         now: Micros,
@@ -277,8 +280,6 @@
         out: &mut Vec<Effect>,
     ) -> Option<Reply> {
         let wall = self.wall;
-        // A body with superfluous fields must not make a record that the store won't take.
-        let raw = trimmed(&raw, &spec);
         if self.accepting.len() >= WAITING_LIMIT {
             return Some(Reply::later("overloaded"));
         }
@@ -419,7 +420,7 @@
                 let reply = match r {
                     UserRequest::Submit(_, body) => {
                         let raw = serde_json::from_str(&body).unwrap_or(Value::Null);
-                        match Spec::from_value(&raw).map(|s| (self.never(&raw, &s), s)) {
+                        match Spec::from_value(&raw).map(|s| (self.never(&trimmed(&raw, &s), &s), s)) {
                             Err(e) => Reply::error(e.status(), &e.to_string()),
                             Ok((Some(why), _)) => Reply::error(422, &why),
                             Ok((None, s)) => {
