--- a/tests/world/days/cancels.rs
+++ b/tests/world/days/cancels.rs
@@ -21,6 +21,19 @@
     id
 }
 
+/// Plays a day of cancellations on so many machines, while users ask, and holds it to what must hold.
+fn played(seed: u64, machines: usize, sum: &mut Cancels, day: impl FnOnce(&mut World)) {
+    let mut w = World::new(seed, Shape { machines, room: machines, teams: 4, jobs: 0, ..SMALL });
+    w.silence.pollers = true;
+    guarded(seed, &mut w, |w| {
+        day(w);
+        settle(w, 520 * S);
+    });
+    ended(&mut w, seed);
+    w.each_was_answered(seed, 15.0);
+    sum.add(&w.cancels);
+}
+
 /// Teams with a limit.
 const LIMITED: [usize; 2] = [0, 2];
 
@@ -96,9 +109,7 @@
 fn at_their_limits(base: u64, machines: [Machines; 3], changes_first: bool) -> Cancels {
     let mut sum = Cancels::default();
     for seed in few(8, base) {
-        let mut w = World::new(seed, Shape { machines: 12, room: 12, teams: 4, jobs: 0, ..SMALL });
-        w.silence.pollers = true;
-        guarded(seed, &mut w, |w| {
+        played(seed, 12, &mut sum, |w| {
             w.run(0, 15 * S);
             for t in LIMITED {
                 for i in 0..8 {
@@ -139,11 +150,7 @@
                 let until = w.now + 55 * S;
                 w.run(0, until);
             }
-            settle(w, 520 * S);
         });
-        ended(&mut w, seed);
-        w.each_was_answered(seed, 15.0);
-        sum.add(&w.cancels);
     }
     sum
 }
@@ -201,10 +208,8 @@
 fn while_work_changes_hands(base: u64, hands: Hands) -> (usize, Cancels) {
     let (mut sum, mut moved) = (Cancels::default(), 0);
     for seed in few(6, base) {
-        let mut w = World::new(seed, Shape { machines: 10, room: 10, jobs: 0, teams: 4, ..SMALL });
-        w.silence.pollers = true;
-        w.unruly = 0.1;
-        guarded(seed, &mut w, |w| {
+        played(seed, 10, &mut sum, |w| {
+            w.unruly = 0.1;
             w.log.push(format!("{hands:?}"));
             w.run(0, 15 * S);
             for round in 0..3 {
@@ -251,11 +256,7 @@
                 let until = w.now + 15 * S;
                 w.run(0, until);
             }
-            settle(w, 520 * S);
         });
-        ended(&mut w, seed);
-        w.each_was_answered(seed, 15.0);
-        sum.add(&w.cancels);
     }
     assert!(sum.answered > 150, "{hands:?}: {sum:?}");
     (moved, sum)
