--- a/src/jobs/withdrawal/tests.rs
+++ b/src/jobs/withdrawal/tests.rs
@@ -173,6 +173,17 @@
     assert_eq!(next(&[], &[], 5000), None);
 }
 
+/// An end that was noted stands: a cancellation that comes later doesn't change what its user is told.
+#[test]
+fn a_job_that_is_to_end_as_done_is_not_cancelled_any_more() {
+    let (.., mut owner, _) = owner_of(raw("batch", 1, 0.0));
+    owner.complete("wk-1", 0);
+    owner.note_endings(at(1000));
+    assert!(!owner.cancel("wk-1"));
+    let next = owner.next_write(at(1000), true);
+    assert!(matches!(next, Some((_, RecordWrite::End(Final::Done, _), _))));
+}
+
 /// Progress is put on record now and then only; who has ended, or is cancelled right after, doesn't wait for the next time.
 #[test]
 fn an_end_does_not_wait_for_the_pause_between_two_writes_of_progress() {
