--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -13,8 +13,7 @@
 group=$!
 trap 'kill -KILL -- -"$group" 2>/dev/null; rm -rf "$TMPDIR"' EXIT
 trap 'exit 2' HUP INT TERM
-for ((tenths = 0; tenths < 1185; tenths++)); do
-    kill -0 "$group" 2>/dev/null || break
+while [ "$SECONDS" -lt 118 ] && kill -0 "$group" 2>/dev/null; do
     sleep 0.1
 done
 if kill -0 "$group" 2>/dev/null; then
