Serve HTTP on a listener that outlives a failed accept

What callers saw: once some 990 users had a connection to a controller, its HTTP port was closed for good: users, workers and health probes were refused, also after the users had left, until the process ended.

Cause: tiny_http ends its accept loop and drops the listener at the first error of accept (EMFILE), and the daemon took that error for a request that could not be received. Nothing limited connections, each of which took two descriptors, and nothing ended connections whose client was gone.

Evidence: with LOG_LEVEL=debug each of the three controllers logs "Error accepting new client: Too many open files" once and never again, then only its port for peers is listening, and 16 to 18 descriptors are in use. So the listener was dropped; a leak of descriptors would repeat the error, stuck readers would leave connections open without an answer.

Change: cluster::http_server, used by the controllers and by the log stores, replaces tiny_http, which offers neither a limit of connections nor of the time that a request may take, and can't be told to go on. The number of connections is bounded by settings.quota.fd_limit and the platform's threads less a reserve for the controller's own calls.

Why it works: no error of a connection reaches the listener, and no number of connections takes the descriptors of the calls that leadership rests on.

--- a/crates/logs/src/serve.rs
+++ b/crates/logs/src/serve.rs
@@ -8,28 +8,32 @@
 use crate::segment_store::{SegmentStore, SegmentStoreError};
 use crate::wire::{Ack, Answer, Frame, Request};
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use hazelsaddle_cluster::http_server::{Limits, Request as HttpRequest, Responder, Response, Server};
 use hazelsaddle_cluster::send_queue::SendQueue;
 use hazelsaddle_cluster::time::Micros;
 use hazelsaddle_cluster::transport::{self, Framed};
 use std::collections::HashMap;
-use std::io::{Read as _, Write as _};
+use std::io::Write as _;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Threads that read readers' requests, and as many that answer them: who reads slowly holds up one of them.
-const READERS: usize = 4;
+/// Threads that send responses to readers: who reads slowly holds up one of them.
 const ANSWERERS: usize = 8;
 /// Readers' requests that wait; more are turned away at once.
 const QUEUE: usize = 1000;
+/// Readers' connections at a time; each takes a thread.
+const READER_CONNECTIONS: usize = 1000;
+/// How long a reader may take nothing of a response before its connection is closed.
+const READER_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Events taken before they are made certain together.
 const BATCH: usize = 256;
 /// Bytes staged before that.
 const BATCH_BYTES: usize = 8 << 20;
 /// Longest list of stores taken.
-const BODY: u64 = 64 << 10;
+const BODY: usize = 64 << 10;
 
 /// Why a store can't start, or ended.
 #[derive(Debug, thiserror::Error)]
@@ -51,7 +55,7 @@
 enum Inbound {
     Shipper(Ticket, Request, Sender<Answer>),
     Peer(Frame),
-    Reader(Ticket, tiny_http::Request, Read),
+    Reader(Ticket, Responder, Read),
     Stop,
 }
 
@@ -189,7 +193,7 @@
 }
 
 /// Reads a reader's request.
-fn parse(method: &str, url: &str, ranged: Option<&str>, body: &mut dyn std::io::Read) -> Result<Read, Reply> {
+fn parse(method: &str, url: &str, ranged: Option<&str>, body: &[u8]) -> Result<Read, Reply> {
     let (path, query) = url.split_once('?').unwrap_or((url, ""));
     let query: HashMap<String, String> = form_urlencoded::parse(query.as_bytes()).into_owned().collect();
     let asked = |key: &str| query.get(key).map(String::as_str);
@@ -198,11 +202,9 @@
         "/ready" | "/v1/status" if get => Ok(Read::Status),
         "/v1/members" if get => Ok(Read::Members),
         "/v1/members" if method == "PUT" => {
-            let mut text = String::new();
-            if body.take(BODY + 1).read_to_string(&mut text).is_err() || text.len() as u64 > BODY {
-                return Err(Reply::error(400, "the body is too long, or is not UTF-8"));
-            }
-            let list: List = serde_json::from_str(&text).map_err(|e| Reply::error(400, &e.to_string()))?;
+            let text = std::str::from_utf8(body).ok().filter(|text| text.len() <= BODY);
+            let text = text.ok_or_else(|| Reply::error(400, "the body is too long, or is not UTF-8"))?;
+            let list: List = serde_json::from_str(text).map_err(|e| Reply::error(400, &e.to_string()))?;
             Ok(Read::SetMembers(list))
         }
         "/v1/streams" if get => {
@@ -252,8 +254,7 @@
     }
 }
 
-fn respond(request: tiny_http::Request, r: Reply) {
-    let mut response = tiny_http::Response::from_data(r.body).with_status_code(r.status);
+fn respond(responder: Responder, r: Reply) {
     let mut headers = vec![("Content-Type", r.kind.to_owned())];
     if let Some(s) = r.retry_after {
         headers.push(("Retry-After", s.to_string()));
@@ -262,42 +263,40 @@
         let text = if r.status == 416 { format!("bytes */{of}") } else { format!("bytes {from}-{to}/{of}") };
         headers.push(("Content-Range", text));
     }
-    for (name, value) in headers {
-        if let Ok(h) = tiny_http::Header::from_bytes(name, value) {
-            response.add_header(h);
-        }
-    }
-    // A client that is gone needs no answer.
-    let _ = request.respond(response);
+    responder.respond(&Response { status: r.status, headers, body: r.body });
 }
 
-fn take_readers(server: &tiny_http::Server, tickets: &AtomicU64, tx: &Sender<Inbound>, ended: &AtomicBool) {
-    while !ended.load(Ordering::Relaxed) {
-        let mut request = match server.recv_timeout(Duration::from_millis(200)) {
-            Ok(Some(r)) => r,
-            Ok(None) => continue,
-            Err(e) => {
-                tracing::debug!(reason = %e, "request not received");
-                std::thread::sleep(Duration::from_millis(20));
-                continue;
-            }
-        };
-        let ranged =
-            request.headers().iter().find(|h| h.field.equiv("Range")).map(|h| h.value.as_str().to_owned());
-        let (method, url) = (request.method().as_str().to_owned(), request.url().to_owned());
-        match parse(&method, &url, ranged.as_deref(), request.as_reader()) {
-            Err(reply) => respond(request, reply),
-            Ok(_) if tx.len() >= QUEUE => respond(request, Reply::later("overloaded")),
-            Ok(read) => {
-                let ticket = tickets.fetch_add(1, Ordering::Relaxed);
-                if tx.send(Inbound::Reader(ticket, request, read)).is_err() {
-                    return;
-                }
-            }
+/// Passes a reader's request to the store's thread, unless it can be answered without.
+fn take_reader(request: &HttpRequest, responder: Responder, tickets: &AtomicU64, tx: &Sender<Inbound>) {
+    match parse(&request.method, &request.target, request.header("Range"), &request.body) {
+        Err(reply) => respond(responder, reply),
+        Ok(_) if tx.len() >= QUEUE => respond(responder, Reply::later("overloaded")),
+        Ok(read) => {
+            let ticket = tickets.fetch_add(1, Ordering::Relaxed);
+            // Fails only after the store has ended; the connection is closed then.
+            let _ = tx.send(Inbound::Reader(ticket, responder, read));
         }
     }
 }
 
+/// Starts the HTTP server for readers.
+fn serve_readers(
+    address: &str,
+    tickets: &Arc<AtomicU64>,
+    tx: &Sender<Inbound>,
+) -> Result<Server, ServeError> {
+    let limits = Limits {
+        max_connections: READER_CONNECTIONS,
+        max_body_bytes: BODY,
+        write_timeout: READER_WRITE_TIMEOUT,
+    };
+    let (tickets, tx) = (tickets.clone(), tx.clone());
+    Server::start(StoreConfig::address(address)?, limits, move |request, responder| {
+        take_reader(&request, responder, &tickets, &tx);
+    })
+    .map_err(|e| ServeError::Listen(format!("http {address}"), e.to_string()))
+}
+
 fn listening(name: &str, addr: &str) -> Result<(TcpListener, SocketAddrV4), ServeError> {
     let failed = |e: std::io::Error| ServeError::Listen(format!("{name} {addr}"), e.to_string());
     let listener = TcpListener::bind(StoreConfig::address(addr)?).map_err(failed)?;
@@ -333,19 +332,9 @@
         let _ = peers.send(Inbound::Peer(f));
     })
     .map_err(|e| ServeError::Listen(format!("peer {}", config.member.peer), e.to_string()))?;
-    let server = tiny_http::Server::http(StoreConfig::address(&config.member.http)?)
-        .map_err(|e| ServeError::Listen(format!("http {}", config.member.http), e.to_string()))?;
-    let http_addr = match server.server_addr().to_ip() {
-        Some(SocketAddr::V4(a)) => a,
-        _ => return Err(ServeError::Listen("http".into(), "not IPv4".into())),
-    };
-    let server = Arc::new(server);
-    let ended = Arc::new(AtomicBool::new(false));
-    for _ in 0..READERS {
-        let (server, tickets, tx, ended) = (server.clone(), tickets.clone(), tx.clone(), ended.clone());
-        std::thread::spawn(move || take_readers(&server, &tickets, &tx, &ended));
-    }
-    let (answer_tx, answer_rx) = bounded::<(tiny_http::Request, Reply)>(QUEUE);
+    let server = serve_readers(&config.member.http, &tickets, &tx)?;
+    let http_addr = server.address();
+    let (answer_tx, answer_rx) = bounded::<(Responder, Reply)>(QUEUE);
     for _ in 0..ANSWERERS {
         let answers = answer_rx.clone();
         std::thread::spawn(move || {
@@ -359,20 +348,15 @@
     let node = Replica::new(config.node.clone(), config.list.clone(), shelf, recovery, Micros(1_000_000));
     let thread = std::thread::spawn(move || {
         run(node, &rx, &answer_tx, begun);
-        ended.store(true, Ordering::Relaxed);
+        drop(server);
     });
     Ok(Running { link: link_addr, peer: peer_addr, http: http_addr, stop: tx, thread })
 }
 
-fn run(
-    mut node: Replica,
-    rx: &Receiver<Inbound>,
-    answer_tx: &Sender<(tiny_http::Request, Reply)>,
-    begun: Instant,
-) {
+fn run(mut node: Replica, rx: &Receiver<Inbound>, answer_tx: &Sender<(Responder, Reply)>, begun: Instant) {
     let clock = || Micros(1_000_000 + begun.elapsed().as_micros() as u64);
     let mut shippers: HashMap<Ticket, Sender<Answer>> = HashMap::new();
-    let mut readers: HashMap<Ticket, tiny_http::Request> = HashMap::new();
+    let mut readers: HashMap<Ticket, Responder> = HashMap::new();
     let mut links: HashMap<String, (String, SendQueue<Frame>)> = HashMap::new();
     let mut out = Vec::new();
     loop {
@@ -456,8 +440,7 @@
 
     #[test]
     fn bad_requests_are_answered_at_the_edge() {
-        let status =
-            |method: &str, url: &str| parse(method, url, None, &mut "{}".as_bytes()).map_err(|r| r.status);
+        let status = |method: &str, url: &str| parse(method, url, None, b"{}").map_err(|r| r.status);
         assert!(status("GET", "/v1/chunks?at=wk-1/0/1&from=3&wait_ms=500").is_ok());
         assert!(status("GET", "/v1/streams?job=wk-1&after=wk-1/0/1:a%2Fb").is_ok());
         for (method, url, expected) in [
@@ -476,7 +459,7 @@
         ] {
             assert_eq!(status(method, url), Err(expected), "{method} {url}");
         }
-        let ranged = |r| parse("GET", "/v1/artefacts/wk-1/0/1/a/b.csv", Some(r), &mut "".as_bytes());
+        let ranged = |r| parse("GET", "/v1/artefacts/wk-1/0/1/a/b.csv", Some(r), b"");
         assert!(matches!(ranged("bytes=5-9"), Ok(Read::Artefact { from: 5, to: Some(9), .. })));
         assert!(matches!(ranged("bytes=5-"), Ok(Read::Artefact { from: 5, to: None, .. })));
         assert_eq!(ranged("bytes=-5").map_err(|r| r.status), Err(416));
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -28,6 +28,16 @@
 /// Shortest and longest interval of status messages between controllers.
 const DIGEST_RANGE: (Micros, Micros) = (Micros::from_millis(100), Micros::from_millis(1000));
 
+/// Descriptors of a process whose settings name no limit.
+const DEFAULT_DESCRIPTOR_LIMIT: usize = 1024;
+/// Most threads that the platform allows a process; each HTTP connection has one.
+const THREAD_LIMIT: usize = 2000;
+/// Descriptors and threads kept for everything but HTTP connections: peers' connections in both directions, calls to the
+/// state service, the cloud and workers, standard streams and listeners.
+const RESERVED_FOR_OUTBOUND: usize = 128;
+/// Fewest HTTP connections, however low the limits are.
+const MIN_HTTP_CONNECTIONS: usize = 16;
+
 /// Why the settings can't be used; the message is one line that names the file or the key.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -101,6 +111,22 @@
     workers: Workers,
     state: State,
     cloud: Cloud,
+    #[serde(default)]
+    quota: ProcessQuota,
+}
+
+/// Limits of the controller's process.
+#[derive(Deserialize, Clone, Debug, Default)]
+struct ProcessQuota {
+    fd_limit: Option<usize>,
+}
+
+impl ProcessQuota {
+    /// Most HTTP connections, so that everything else always gets a descriptor and a thread.
+    fn http_connections(&self) -> usize {
+        let limit = self.fd_limit.unwrap_or(DEFAULT_DESCRIPTOR_LIMIT).min(THREAD_LIMIT);
+        limit.saturating_sub(RESERVED_FOR_OUTBOUND).max(MIN_HTTP_CONNECTIONS)
+    }
 }
 
 /// A team's guarantee and quota limit; 0 means none.
@@ -195,6 +221,8 @@
     pub zone: String,
     /// The address for users, workers and health checks.
     pub api: SocketAddrV4,
+    /// Most connections to that address at a time.
+    pub http_connections: usize,
     /// The address for peers.
     pub back: SocketAddrV4,
     /// The other controllers.
@@ -278,7 +306,7 @@
 
     /// Derives the settings from a valid file.
     fn derive(file: SettingsFile, members: Vec<String>) -> Settings {
-        let PlatformSettings { teams, objectives, workers, state, cloud } = file.settings;
+        let PlatformSettings { teams, objectives, workers, state, cloud, quota } = file.settings;
         let state = state.lower_limits();
         let me = members.iter().position(|member| *member == file.member).unwrap_or(0);
         let controller_count = members.len() as f64;
@@ -292,6 +320,7 @@
             member: file.member,
             zone: file.location,
             api: file.api_addr,
+            http_connections: quota.http_connections(),
             back: file.back,
             seeds: file.seeds,
             cloud: file.outside.cloud,
--- a/src/server.rs
+++ b/src/server.rs
@@ -14,18 +14,19 @@
 mod worker_probe;
 
 use self::event_loop::EventLoop;
+use self::http_api::RequestQueue;
 use self::inbox::InboxSender;
 use self::outbound::Outbound;
 use crate::config::settings::Settings;
 use crate::controller::{Controller, Event};
 use crate::peer::{self, Frame};
+use hazelsaddle_cluster::http_server::{Limits, Server};
 use std::net::SocketAddrV4;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-/// Number of threads that read HTTP requests; a client that sends its request slowly blocks one of them.
-const HTTP_READERS: usize = 4;
+/// How long the event loop may wait for a client that doesn't read its responses. One response always fits into a
+/// socket's buffer, so only a client that sends requests without reading comes to this.
+const HTTP_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why a controller can't start.
 #[derive(Debug, thiserror::Error)]
@@ -44,7 +45,7 @@
         /// The address.
         address: SocketAddrV4,
         /// The operating system's error.
-        source: Box<dyn std::error::Error + Send + Sync>,
+        source: std::io::Error,
     },
     /// A thread can't be started.
     #[error("thread {name}: {source}")]
@@ -65,7 +66,7 @@
     let start = Instant::now();
     let (sender, inbox) = inbox::create();
     listen_for_peers(settings.back, &sender)?;
-    serve_http(settings.api, &sender)?;
+    let _http_server = serve_http(&settings, &sender)?;
     let outbound = Outbound::start(&settings, &sender)?;
     tracing::info!(
         member = %settings.member, zone = %settings.zone, api = %settings.api, back = %settings.back, "started"
@@ -87,17 +88,17 @@
     Ok(())
 }
 
-/// Starts the HTTP server and the threads that read its requests.
-fn serve_http(address: SocketAddrV4, sender: &InboxSender) -> Result<(), ServerError> {
-    let server =
-        tiny_http::Server::http(address).map_err(|source| ServerError::HttpListener { address, source })?;
-    let server = Arc::new(server);
-    let next_request_id = Arc::new(AtomicU64::new(1));
-    for number in 0..HTTP_READERS {
-        let (server, next_request_id, sender) = (server.clone(), next_request_id.clone(), sender.clone());
-        spawn(format!("http-{number}"), move || http_api::read_requests(&server, &next_request_id, &sender))?;
-    }
-    Ok(())
+/// Starts the HTTP server.
+fn serve_http(settings: &Settings, sender: &InboxSender) -> Result<Server, ServerError> {
+    let address = settings.api;
+    let limits = Limits {
+        max_connections: settings.http_connections,
+        max_body_bytes: http_api::HEARTBEAT_LIMIT_BYTES,
+        write_timeout: HTTP_WRITE_TIMEOUT,
+    };
+    let queue = RequestQueue::new(sender.clone());
+    Server::start(address, limits, move |request, responder| queue.handle(request, responder))
+        .map_err(|source| ServerError::HttpListener { address, source })
 }
 
 /// Starts a named thread that runs until the process exits.
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -9,6 +9,7 @@
 use crate::controller::{Controller, Effect, Event, StoreLane};
 use crate::peer::Reply;
 use crate::units::Micros;
+use hazelsaddle_cluster::http_server::Responder;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,8 +27,8 @@
     start: Instant,
     inbox: Inbox,
     outbound: Outbound,
-    /// HTTP requests not yet answered, by the request id (ticket) under which the controller answers them.
-    open_requests: HashMap<u64, tiny_http::Request>,
+    /// The HTTP requests not yet answered, by the request id (ticket) under which the controller answers them.
+    open_requests: HashMap<u64, Responder>,
     /// Effects not yet executed, in order.
     effects: Vec<Effect>,
     /// Set by a signal handler when the process is to terminate.
@@ -74,8 +75,8 @@
         while let Some(inbound) = next {
             let event = match inbound {
                 Inbound::Event(event) => event,
-                Inbound::Request { id, request, event } => {
-                    self.open_requests.insert(id, request);
+                Inbound::Request { id, responder, event } => {
+                    self.open_requests.insert(id, responder);
                     event
                 }
             };
@@ -111,14 +112,14 @@
 
     /// Answers a request, unless it was already answered.
     fn respond(&mut self, request_id: u64, reply: Reply) {
-        if let Some(request) = self.open_requests.remove(&request_id) {
-            http_api::respond(request, reply);
+        if let Some(responder) = self.open_requests.remove(&request_id) {
+            http_api::respond(responder, reply);
         }
     }
 
     fn refuse_open_requests(&mut self) {
-        for (_, request) in self.open_requests.drain() {
-            http_api::respond(request, Reply::retry_later("this controller is leaving"));
+        for (_, responder) in self.open_requests.drain() {
+            http_api::respond(responder, Reply::retry_later("this controller is leaving"));
         }
     }
 
--- a/src/server/http_api.rs
+++ b/src/server/http_api.rs
@@ -10,14 +10,11 @@
 use crate::peer::{Reply, UserRequest};
 use crate::spec::{JobSpec, is_job_id};
 use crate::wire::users::submission::{BODY_LIMIT_BYTES, read_job_id};
-use std::io::Read;
+use hazelsaddle_cluster::http_server::{Request, Responder, Response};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
 /// Longest heartbeat accepted, in bytes; leaves space for a machine with thousands of tasks.
-const HEARTBEAT_LIMIT_BYTES: usize = 4 << 20;
-/// Pause after a request that could not be received.
-const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
+pub(super) const HEARTBEAT_LIMIT_BYTES: usize = 4 << 20;
 
 /// How a request is handled.
 #[derive(Debug)]
@@ -28,44 +25,38 @@
     Reply(Reply),
 }
 
-/// Reads requests until the event loop has ended.
-pub(super) fn read_requests(server: &tiny_http::Server, next_request_id: &AtomicU64, inbox: &InboxSender) {
-    loop {
-        let mut request = match server.recv() {
-            Ok(request) => request,
-            Err(e) => {
-                tracing::debug!(reason = %e, "request not received");
-                std::thread::sleep(RECEIVE_PAUSE);
-                continue;
-            }
-        };
-        let id = next_request_id.fetch_add(1, Ordering::Relaxed);
-        let method = request.method().as_str().to_owned();
-        let url = request.url().to_owned();
-        match dispatch(id, &method, &url, |limit| read_body(request.as_reader(), limit)) {
-            Dispatch::Reply(reply) => respond(request, reply),
-            Dispatch::Event(event) => match inbox.send_request(id, request, event) {
-                Admission::Queued => {}
-                Admission::Overloaded(request) => respond(request, Reply::retry_later("overloaded")),
-                Admission::LoopEnded => return,
+/// Passes requests from the threads of the HTTP server to the event loop.
+pub(super) struct RequestQueue {
+    inbox: InboxSender,
+    next_request_id: AtomicU64,
+}
+
+impl RequestQueue {
+    pub(super) fn new(inbox: InboxSender) -> RequestQueue {
+        RequestQueue { inbox, next_request_id: AtomicU64::new(1) }
+    }
+
+    /// Answers a request that needs no cluster state, and queues any other.
+    pub(super) fn handle(&self, request: Request, responder: Responder) {
+        let id = self.next_request_id.fetch_add(1, Ordering::Relaxed);
+        let Request { method, target, body, .. } = request;
+        match dispatch(id, &method, &target, |limit| read_body(body, limit)) {
+            Dispatch::Reply(reply) => respond(responder, reply),
+            Dispatch::Event(event) => match self.inbox.send_request(id, responder, event) {
+                Admission::Queued | Admission::LoopEnded => {}
+                Admission::Overloaded(responder) => respond(responder, Reply::retry_later("overloaded")),
             },
         }
     }
 }
 
 /// Answers a request.
-pub(super) fn respond(request: tiny_http::Request, reply: Reply) {
-    let mut response = tiny_http::Response::from_string(reply.body).with_status_code(reply.status);
-    if let Ok(header) = tiny_http::Header::from_bytes("Content-Type", "application/json") {
-        response.add_header(header);
-    }
-    if let Some(seconds) = reply.retry_after
-        && let Ok(header) = tiny_http::Header::from_bytes("Retry-After", seconds.to_string())
-    {
-        response.add_header(header);
+pub(super) fn respond(responder: Responder, reply: Reply) {
+    let mut headers = vec![("Content-Type", "application/json".to_owned())];
+    if let Some(seconds) = reply.retry_after {
+        headers.push(("Retry-After", seconds.to_string()));
     }
-    // Fails if the client has closed the connection; it needs no answer then.
-    let _ = request.respond(response);
+    responder.respond(&Response { status: reply.status, headers, body: reply.body.into_bytes() });
 }
 
 /// Routes a request. `read_body` is called, with the limit in bytes, only for requests that have a body.
@@ -186,19 +177,15 @@
     query.split('&').find_map(|part| part.strip_prefix(name)?.strip_prefix('='))
 }
 
-/// Reads a body of at most `limit` bytes.
+/// The text of a body of at most `limit` bytes.
 ///
 /// # Errors
-/// The reply to a body that is too long, is not UTF-8 or can't be read.
-pub fn read_body(reader: &mut dyn Read, limit: usize) -> Result<String, Reply> {
-    let mut bytes = Vec::new();
-    if reader.take(limit as u64 + 1).read_to_end(&mut bytes).is_err() {
-        return Err(Reply::error(400, "the body could not be read"));
-    }
-    if bytes.len() > limit {
+/// The reply to a body that is too long or is not UTF-8.
+pub fn read_body(body: Vec<u8>, limit: usize) -> Result<String, Reply> {
+    if body.len() > limit {
         return Err(Reply::error(400, "the body is too long"));
     }
-    String::from_utf8(bytes).map_err(|_| Reply::error(400, "the body is not UTF-8"))
+    String::from_utf8(body).map_err(|_| Reply::error(400, "the body is not UTF-8"))
 }
 
 #[cfg(test)]
--- a/src/server/http_api/tests.rs
+++ b/src/server/http_api/tests.rs
@@ -2,7 +2,7 @@
 
 fn status(method: &str, url: &str, text: &str) -> Option<u16> {
     let text = text.as_bytes().to_vec();
-    match dispatch(1, method, url, |limit| read_body(&mut text.as_slice(), limit)) {
+    match dispatch(1, method, url, |limit| read_body(text, limit)) {
         Dispatch::Reply(reply) => Some(reply.status),
         Dispatch::Event(_) => None,
     }
--- a/src/server/inbox.rs
+++ b/src/server/inbox.rs
@@ -6,6 +6,7 @@
 
 use crate::controller::Event;
 use crossbeam_channel::{Receiver, Sender, unbounded};
+use hazelsaddle_cluster::http_server::Responder;
 use std::time::Duration;
 
 /// Most requests that may wait in a queue; further ones are rejected at once.
@@ -21,8 +22,8 @@
     Request {
         /// The request id (ticket) under which the controller answers it.
         id: u64,
-        /// The open request.
-        request: tiny_http::Request,
+        /// Sends the response.
+        responder: Responder,
         /// The event for the controller.
         event: Event,
     },
@@ -37,7 +38,7 @@
     /// It waits for the event loop.
     Queued,
     /// The queue is full: the caller must reject the request.
-    Overloaded(tiny_http::Request),
+    Overloaded(Responder),
     /// The event loop has ended.
     LoopEnded,
 }
@@ -76,12 +77,12 @@
 
     /// Queues a request: heartbeats in the ordinary queue, all others in the urgent one.
     #[must_use]
-    pub(super) fn send_request(&self, id: u64, request: tiny_http::Request, event: Event) -> Admission {
+    pub(super) fn send_request(&self, id: u64, responder: Responder, event: Event) -> Admission {
         let queue = if matches!(event, Event::Heartbeat { .. }) { &self.ordinary } else { &self.urgent };
         if queue.len() >= REQUEST_LIMIT {
-            return Admission::Overloaded(request);
+            return Admission::Overloaded(responder);
         }
-        match queue.send(Inbound::Request { id, request, event }) {
+        match queue.send(Inbound::Request { id, responder, event }) {
             Ok(()) => Admission::Queued,
             Err(_) => Admission::LoopEnded,
         }
--- a/tests/spec.rs
+++ b/tests/spec.rs
@@ -27,7 +27,7 @@
 /// The status with which a submission is refused, if it is: by the API edge, or, where it names a job that may have
 /// been accepted with another body, by the job's leader once the state store has no record of it.
 fn submit_status(text: &str) -> Option<u16> {
-    let read = |limit| http_api::read_body(&mut text.as_bytes(), limit);
+    let read = |limit| http_api::read_body(text.as_bytes().to_vec(), limit);
     match http_api::dispatch(1, "POST", "/v1/jobs", read) {
         Dispatch::Reply(Reply { status, .. }) => Some(status),
         Dispatch::Event(_) => JobSpec::parse(text).err().map(|e| e.status()),
