Continue a team's quota record on further values

Cause: a job starts only with an allocation on record, and a team's allocations lay in one value of the state service, about 31 bytes a job: grow_allocation passed over what had no space. On the same assumption a record over a limit that had fallen was never written again, since each controller may drop its own jobs' entries only, and a gang's request was put into the record without a look at its length, which kept all else from being written.

Evidence: while the case waits, the record has 62 entries and 1,985 bytes and its version stands still for 6 s, with the whole budget of writes left; so neither conflicting writes nor placement.

Change: quota::record_pages splits a record over team/NAME, team/NAME!1 and on. Each write also writes the first page and is conditional on its version; all pages are read by one request. So the limit is checked against the whole record as before, and the version of the first page stands for all. A write changes at most four values; entries on other pages stay as they are. A page that is too long is split before anything else. A request that has no space is left out.

Forms: with one page the record is what it was. The first of several is an array, which version 1 and all others before find malformed, so that they allocate nothing from half of a record. Controllers now read version 5, and add a second page only while all do. tests/fixtures/current-form.json: "reads" is 5, and "team/pages" is new; nothing else changed.

--- a/src/controller/format_versions.rs
+++ b/src/controller/format_versions.rs
@@ -8,12 +8,14 @@
 
 /// The newest format version that this build reads and that its member key lists. Builds of version 1 list
 /// none. Version 2 adds jobs that follow others, version 3 hand-off and replicated starts, version 4
-/// releases, batches and loans.
-pub(super) const CURRENT_FORMAT_VERSION: u64 = 4;
+/// releases, batches and loans, version 5 quota records of several pages.
+pub(super) const CURRENT_FORMAT_VERSION: u64 = 5;
 /// The first version in which jobs may follow others; it added `Message::InheritedPriorities`.
 const DEPENDENCIES_FORMAT_VERSION: u64 = 2;
 /// The first version in which jobs may name releases and batches.
 pub(super) const COORDINATION_FORMAT_VERSION: u64 = 4;
+/// The first version that reads quota records of several pages.
+const QUOTA_PAGES_FORMAT_VERSION: u64 = 5;
 /// Key of the newest version that all controllers have read at the same time, so that a controller that is
 /// merely absent need not be waited for. The key is listed together with the member keys; builds of version 1
 /// skip it because it is no member's name.
@@ -116,6 +118,12 @@
         self.format_versions.is_supported_by_all(COORDINATION_FORMAT_VERSION)
     }
 
+    /// Whether a quota record may get a second page: an older controller could not read the record then, and would start
+    /// nothing for the team.
+    pub(super) fn can_page_quota(&self) -> bool {
+        self.format_versions.is_supported_by_all(QUOTA_PAGES_FORMAT_VERSION)
+    }
+
     /// The reason why a job can't be accepted yet, if an older controller is in the ring.
     pub(super) fn upgrade_rejection(&self, spec: &JobSpec) -> Option<Reply> {
         if spec.has_coordination_record() && !self.can_accept_coordination() {
--- a/src/controller/record_writes.rs
+++ b/src/controller/record_writes.rs
@@ -12,6 +12,10 @@
 /// The write budget holds at most one second's worth of writes. It is kept nearly full, which costs no
 /// throughput, so that a new submission is not rejected. Jobs' outcomes are written from this level on.
 const MIN_BUDGET_FOR_OUTCOMES: f64 = 0.75;
+/// Most pages of a team's quota record that one write changes, so that a write takes little of the budget.
+const MAX_QUOTA_PAGES_PER_WRITE: usize = 4;
+/// Most bytes of values in a transaction. The service accepts 64 KiB with keys and conditions.
+const MAX_TRANSACTION_VALUE_BYTES: usize = 60 << 10;
 /// Registry pages are written from this level on.
 const MIN_BUDGET_FOR_REGISTRY: f64 = 0.5;
 /// Writes that can be deferred are made from this level on.
@@ -26,7 +30,11 @@
         self.state_store.next_quota_pass = now + QUOTA_PERIOD;
         let needs = self.job_shard.quota_needs(&self.quota);
         for team in self.quota.next_reads(now, &needs) {
-            let read = StoreRequest::Get(format!("team/{team}"));
+            let key = format!("team/{team}");
+            let read = match self.quota.is_paged(&team) {
+                true => StoreRequest::List(key, String::new()),
+                false => StoreRequest::Get(key),
+            };
             self.send_store_request(PendingStoreRequest::ReadQuota { team }, read, out);
         }
         let no_needs = Vec::new();
@@ -38,24 +46,48 @@
                 is_led_locally: &|job| membership.job_leader(job) == Some(me),
                 can_release: &|job| self.job_shard.has_released_resources(job),
                 value_bytes: self.settings.value_bytes,
+                max_pages: self.max_quota_pages(&team),
             };
             let write = self.quota.next_write(now, &input);
             let Some(write) = write else { continue };
-            if !self.state_store.write_limiter.take(now, 1.0, 0.5) {
+            if !self.state_store.write_limiter.take(now, write.value_count() as f64, 0.5) {
                 break;
             }
             self.quota.begin_write(now, &write);
-            let key = format!("team/{team}");
-            let transaction = Transaction {
-                conditions: vec![self.fencing_condition(), (key.clone(), write.base_version)],
-                puts: vec![(key, write.value.clone(), None)],
-                deletes: Vec::new(),
-            };
+            let transaction = self.quota_transaction(&write);
             let pending = PendingStoreRequest::WriteAllocation(write);
             self.send_store_request(pending, StoreRequest::Transaction(transaction), out);
         }
     }
 
+    /// Most pages of a team's record that a write may change. A record gets a second page only while all controllers
+    /// read several; one that has several keeps them, since the others allocate nothing from it.
+    fn max_quota_pages(&self, team: &str) -> usize {
+        let may_add_pages = self.can_page_quota() && self.quota.can_be_paged(team);
+        if !may_add_pages && !self.quota.is_paged(team) {
+            return 1;
+        }
+        let fitting = MAX_TRANSACTION_VALUE_BYTES / self.settings.value_bytes.max(1);
+        MAX_QUOTA_PAGES_PER_WRITE.min(self.settings.txn_ops).min(fitting).max(1)
+    }
+
+    fn quota_transaction(&self, write: &AllocationWrite) -> Transaction {
+        let key = format!("team/{}", write.team);
+        let mut transaction = Transaction {
+            conditions: vec![self.fencing_condition(), (key.clone(), write.base_version)],
+            puts: vec![(key, write.value.clone(), None)],
+            deletes: Vec::new(),
+        };
+        for page in &write.pages {
+            transaction.conditions.push((page.key.clone(), page.base_version));
+            match &page.value {
+                Some(value) => transaction.puts.push((page.key.clone(), value.clone(), None)),
+                None => transaction.deletes.push(page.key.clone()),
+            }
+        }
+        transaction
+    }
+
     pub(super) fn apply_allocation_write(&mut self, write: AllocationWrite, answer: StoreAnswer) {
         match answer {
             StoreAnswer::Committed(store_version) => {
@@ -72,6 +104,7 @@
             StoreAnswer::Got(row) => {
                 self.quota.apply_record(team, row.as_ref().map(|row| (&row.value, row.store_version)))
             }
+            StoreAnswer::Page(rows, has_more) => self.quota.apply_rows(team, rows, *has_more),
             _ => self.quota.require_read(team),
         }
     }
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -3,7 +3,9 @@
 //!
 //! - `ledger` caches the teams' records and tracks the writes to them.
 //! - `allocation` computes the next change of a record.
+//! - `allocation_write` is such a change, as it is written.
 //! - `allocation_notes` is the format of an entry in a record.
+//! - `record_pages` splits a record over several values of the state store.
 //! - `tier` has the rules of fair share and preemption.
 //!
 //! A team's record in the state store holds the allocations of its jobs. Resources are allocated to a job before
@@ -17,10 +19,13 @@
 
 mod allocation;
 mod allocation_notes;
+mod allocation_write;
 mod ledger;
+mod record_pages;
 pub mod tier;
 
-pub use allocation::{AllocationInput, AllocationWrite, QuotaNeed};
+pub use allocation::{AllocationInput, QuotaNeed};
+pub use allocation_write::{AllocationWrite, QuotaPageWrite};
 pub use ledger::{QuotaLedger, TeamUsage};
 
 use crate::units::Resources;
--- a/src/quota/allocation.rs
+++ b/src/quota/allocation.rs
@@ -1,10 +1,11 @@
 //! Computes the next change of a team's record: released resources, new allocations, and requests of waiting jobs.
 
 use super::allocation_notes::{AllocationNote, QueuePlace, QuotaRequest};
+use super::allocation_write::{self, AllocationWrite};
 use super::ledger::TeamQuota;
+use super::record_pages::{FIRST_PAGE, PageSpace, RecordPages, encode_pages, entry_bytes};
 use super::{remaining, sum, tier};
 use crate::units::{Micros, Resources};
-use serde_json::Value;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -67,22 +68,10 @@
     /// Whether the allocation of a job that this controller leads and that is no longer live may be released, because
     /// all its tasks are gone.
     pub can_release: &'a dyn Fn(&str) -> bool,
-    /// Maximum size of a record in bytes.
+    /// Maximum size of a page of the record in bytes.
     pub value_bytes: usize,
-}
-
-/// A change of a team's record.
-#[derive(Clone, Debug, PartialEq)]
-pub struct AllocationWrite {
-    /// The team.
-    pub team: String,
-    /// The version of the record to which the change applies.
-    pub base_version: u64,
-    /// The new record, encoded.
-    pub value: Value,
-    /// The allocations in the new record.
-    pub allocations: BTreeMap<String, Resources>,
-    pub(super) notes: BTreeMap<String, AllocationNote>,
+    /// Most pages that one write may change. With 1 the record stays on its first page, which all versions read.
+    pub max_pages: usize,
 }
 
 /// A job of another controller that waits for quota.
@@ -93,6 +82,7 @@
 }
 
 /// One computation of a change of a team's record.
+#[derive(Clone)]
 pub(super) struct AllocationPass<'a> {
     team: &'a TeamQuota,
     input: &'a AllocationInput<'a>,
@@ -109,8 +99,13 @@
     has_grown: bool,
     /// The first job led by this controller that needs all its resources at once and lacks some.
     requester: Option<&'a QuotaNeed>,
-    /// Upper bound of the size of the new record.
-    bytes: usize,
+    /// The pages of the new record, and the space taken on them.
+    pages: RecordPages,
+    space: PageSpace,
+    /// The pages whose entries may change; None: all.
+    open_pages: Option<BTreeSet<u32>>,
+    /// The pages on which allocations were increased, in the order of the queue.
+    grown_pages: Vec<u32>,
 }
 
 impl<'a> AllocationPass<'a> {
@@ -125,49 +120,132 @@
             released: Resources::default(),
             has_grown: false,
             requester: None,
-            bytes: 0,
+            pages: team.pages.clone(),
+            space: PageSpace::default(),
+            open_pages: None,
+            grown_pages: Vec::new(),
         }
     }
 
     /// Computes the change of the record. None if no write is needed now.
-    pub(super) fn run(mut self, now: Micros) -> Option<AllocationWrite> {
+    pub(super) fn run(self, now: Micros) -> Option<AllocationWrite> {
+        if self.input.max_pages > 1
+            && let Some(write) = self.clone().shorten_overlong_page()
+        {
+            return Some(write);
+        }
+        let complete = self.clone().change_entries(now)?;
+        let changed = complete.changed_pages();
+        if changed.len() <= self.most_further_pages() {
+            return complete.into_write();
+        }
+        // Only some pages fit into one write. Those on which jobs get resources are changed first, unless they can get
+        // them only after resources are released on others.
+        let grown = complete.grown_pages.iter().copied().filter(|page| changed.contains(page));
+        let by_growth: Vec<u32> = grown.chain(changed.iter().copied()).collect();
+        let by_release: Vec<u32> = by_growth.iter().rev().copied().collect();
+        [by_growth, by_release].into_iter().find_map(|order| self.clone().change_some_pages(now, &order))
+    }
+
+    /// Most pages beside the first one that a write may change.
+    fn most_further_pages(&self) -> usize {
+        self.input.max_pages.saturating_sub(1)
+    }
+
+    /// Changes the first page and the first ones of `order`.
+    fn change_some_pages(mut self, now: Micros, order: &[u32]) -> Option<AllocationWrite> {
+        let mut open = BTreeSet::from([FIRST_PAGE]);
+        for &page in order {
+            if open.len() <= self.most_further_pages() {
+                open.insert(page);
+            }
+        }
+        self.open_pages = Some(open);
+        self.change_entries(now)?.into_write()
+    }
+
+    /// Computes the new entries. None if no write is needed now.
+    fn change_entries(mut self, now: Micros) -> Option<AllocationPass<'a>> {
         self.drop_ended();
         self.shrink_unused();
         self.clear_requests();
         let used = sum(self.allocations.values());
         self.free = remaining(self.team.limit, used);
-        // The size is tracked because a record that grows beyond the limit can't be written at all, so not even
-        // released resources could be stored.
-        self.bytes = encode_record(&self.allocations, &self.notes).to_string().len();
+        self.measure_space();
         for index in 0..self.input.needs.len() {
             self.grow_allocation(index);
         }
         self.release_for_waiting_jobs();
         self.complete_notes();
-        if !self.is_write_due(now, used) {
-            return None;
-        }
-        let value = encode_record(&self.allocations, &self.notes);
-        // A record written before the limit was lowered may still be too long. It is written after more jobs have
-        // ended.
-        if value.to_string().len() > self.input.value_bytes {
-            return None;
+        self.is_write_due(now, used).then_some(self)
+    }
+
+    fn measure_space(&mut self) {
+        let encoded = encode_pages(&self.allocations, &self.notes, &self.pages);
+        self.space = PageSpace::of(&encoded, self.input.value_bytes);
+    }
+
+    /// Moves entries of a page that was written before the limit was lowered to other pages, and changes nothing else.
+    /// None if no page is too long, or if the write would change too many pages.
+    fn shorten_overlong_page(mut self) -> Option<AllocationWrite> {
+        let encoded = encode_pages(&self.allocations, &self.notes, &self.pages);
+        self.space = PageSpace::of(&encoded, self.input.value_bytes);
+        let overlong = self.space.first_overlong()?;
+        for (job, entry) in encoded[&overlong].iter().rev() {
+            if self.space.first_overlong() != Some(overlong) {
+                break;
+            }
+            let bytes = entry_bytes(job, entry);
+            let page = self.find_page(bytes)?;
+            self.space.give_back(overlong, bytes);
+            self.space.take(page, bytes);
+            self.pages.assign(job, page);
         }
-        Some(AllocationWrite {
-            team: self.input.team.into(),
-            base_version: self.team.version,
-            value,
-            allocations: self.allocations,
-            notes: self.notes,
-        })
+        self.into_write()
+    }
+
+    /// The first page that has space for a new entry of this size.
+    fn find_page(&self, bytes: usize) -> Option<u32> {
+        let usable =
+            self.pages.usable_pages().take_while(|&page| page == FIRST_PAGE || self.input.max_pages > 1);
+        usable.filter(|&page| self.is_open(page)).find(|&page| self.space.has_space(page, bytes))
+    }
+
+    fn is_open(&self, page: u32) -> bool {
+        self.open_pages.as_ref().is_none_or(|open| open.contains(&page))
+    }
+
+    /// Whether the entry of a job may change.
+    fn may_change(&self, job: &str) -> bool {
+        self.is_open(self.pages.page_of(job))
+    }
+
+    /// The pages beside the first one whose entries have changed.
+    fn changed_pages(&self) -> BTreeSet<u32> {
+        allocation_write::changed_pages(
+            &encode_pages(&self.team.allocations, &self.team.notes, &self.team.pages),
+            &encode_pages(&self.allocations, &self.notes, &self.pages),
+        )
+    }
+
+    /// The write of the new entries. None if a page is too long: one that was written before the limit was lowered, in a
+    /// record that must stay on its first page, is written after more jobs have ended.
+    fn into_write(mut self) -> Option<AllocationWrite> {
+        let (allocations, notes) = (&self.allocations, &self.notes);
+        self.pages.retain(|job| allocations.contains_key(job) || notes.contains_key(job));
+        AllocationWrite::build(self.team, self.input, self.allocations, self.notes, self.pages)
     }
 
     /// Drops the allocations of jobs led by this controller that have ended and whose tasks are all gone.
     fn drop_ended(&mut self) {
         let AllocationInput { needs, is_led_locally, can_release, .. } = self.input;
         let live: BTreeSet<&str> = needs.iter().map(|need| need.job.as_str()).collect();
+        let closed = self.closed_jobs();
         self.allocations.retain(|job, allocation| {
-            let is_kept = !is_led_locally(job) || live.contains(job.as_str()) || !can_release(job);
+            let is_kept = !is_led_locally(job)
+                || live.contains(job.as_str())
+                || !can_release(job)
+                || closed.contains(job);
             if !is_kept {
                 self.released = self.released + *allocation;
             }
@@ -175,11 +253,23 @@
         });
     }
 
+    /// The jobs whose entries may not change.
+    fn closed_jobs(&self) -> BTreeSet<String> {
+        let jobs = self.allocations.keys().chain(self.notes.keys());
+        if self.open_pages.is_none() {
+            return BTreeSet::new();
+        }
+        jobs.filter(|job| !self.may_change(job)).cloned().collect()
+    }
+
     /// Shrinks allocations that a job no longer needs, but never below the resources in use. Jobs whose use is not
     /// known completely are skipped: tasks on machines that have not sent a heartbeat since a failover use resources
     /// too.
     fn shrink_unused(&mut self) {
         for need in self.input.needs.iter().filter(|need| need.is_usage_known) {
+            if !self.may_change(&need.job) {
+                continue;
+            }
             let Some(allocation) = self.allocations.get_mut(&need.job) else { continue };
             let target = need.target();
             let shrunk = Resources { memory: 0, ..Resources::min(*allocation, target) };
@@ -190,9 +280,10 @@
 
     /// Clears the requests of jobs led by this controller, since they are computed again.
     fn clear_requests(&mut self) {
+        let closed = self.closed_jobs();
         let (is_led_locally, allocations) = (self.input.is_led_locally, &self.allocations);
         self.notes.retain(|job, note| {
-            if is_led_locally(job) {
+            if is_led_locally(job) && !closed.contains(job) {
                 note.request = None;
             }
             allocations.contains_key(job) || note.request.is_some()
@@ -200,14 +291,10 @@
     }
 
     /// Allocates to the job at `index` the resources that it lacks, or the part of them that it can use. A job for
-    /// which the record has no space waits until other jobs have ended.
+    /// which a record that must stay on its first page has no space waits until other jobs have ended.
     fn grow_allocation(&mut self, index: usize) {
         let need = &self.input.needs[index];
-        let is_new = !self.allocations.contains_key(&need.job);
-        let added_bytes = if is_new { need.job.len() + ENTRY_BYTES } else { GROWTH_BYTES };
-        if self.bytes + added_bytes > self.input.value_bytes {
-            return;
-        }
+        let Some((page, added_bytes)) = self.page_for_growth(need) else { return };
         let current = self.allocations.get(&need.job).copied().unwrap_or_default();
         let lacking = need.target() - current;
         let lacking = Resources { cpus: lacking.cpus.max(0), gpus: lacking.gpus.max(0), memory: 0 };
@@ -224,12 +311,34 @@
         };
         if added.cpus > 0 || added.gpus > 0 {
             self.free = self.free - added;
-            self.bytes += added_bytes;
+            self.put_on_page(&need.job, page, added_bytes);
             self.allocations.insert(need.job.clone(), current + added);
             self.has_grown = true;
+            self.grown_pages.push(page);
         }
     }
 
+    /// The page on which a job's allocation can grow, and the bytes that it then takes there in addition.
+    fn page_for_growth(&self, need: &QuotaNeed) -> Option<(u32, usize)> {
+        let present = self.pages.page_of(&need.job);
+        if self.allocations.contains_key(&need.job) {
+            if !self.is_open(present) {
+                return None;
+            }
+            if self.space.has_space(present, GROWTH_BYTES) {
+                return Some((present, GROWTH_BYTES));
+            }
+        }
+        let entry_bytes = need.job.len() + ENTRY_BYTES;
+        self.find_page(entry_bytes).map(|page| (page, entry_bytes))
+    }
+
+    /// Puts a job's entry on a page, with so many more bytes than it takes there now.
+    fn put_on_page(&mut self, job: &str, page: u32, added_bytes: usize) {
+        self.space.take(page, added_bytes);
+        self.pages.assign(job, page);
+    }
+
     /// How much of the resources that a job lacks it can get, without those left for earlier jobs of other controllers.
     /// None if it needs all of them and not all are available.
     fn available_to(&self, need: &QuotaNeed, lacking: Resources) -> Option<Resources> {
@@ -275,7 +384,7 @@
             }
             // Prevents an allocation below the actual use: a job taken over from another leader may have running tasks
             // that this controller has no record of yet.
-            if !need.is_usage_known {
+            if !need.is_usage_known || !self.may_change(&need.job) {
                 continue;
             }
             let Some(allocation) = self.allocations.get_mut(&need.job) else { continue };
@@ -296,10 +405,16 @@
     fn complete_notes(&mut self) {
         self.allocations.retain(|_, allocation| allocation.cpus > 0 || allocation.gpus > 0);
         for need in self.input.needs.iter().filter(|need| self.allocations.contains_key(&need.job)) {
+            if !self.may_change(&need.job) {
+                continue;
+            }
             let note = self.notes.entry(need.job.clone()).or_default();
             note.accepted = Some(tier::accepted_seconds(need.accepted));
         }
-        if let Some(need) = self.requester {
+        if let Some(need) = self.requester
+            && let Some((page, added_bytes)) = self.page_for_request(need)
+        {
+            self.put_on_page(&need.job, page, added_bytes);
             let current = self.allocations.get(&need.job).copied().unwrap_or_default();
             let request = QuotaRequest { lacking: need.target() - current, priority: need.priority };
             let accepted = Some(tier::accepted_seconds(need.accepted));
@@ -309,6 +424,18 @@
         self.notes.retain(|job, note| allocations.contains_key(job) || note.request.is_some());
     }
 
+    /// The page for a job's request, and the bytes that it takes there in addition. None if there is no space: a request
+    /// that made its page too long would keep everything else from being written.
+    fn page_for_request(&self, need: &QuotaNeed) -> Option<(u32, usize)> {
+        let present = self.pages.page_of(&need.job);
+        if self.allocations.contains_key(&need.job) {
+            let has_space = self.is_open(present) && self.space.has_space(present, ENTRY_BYTES);
+            return has_space.then_some((present, ENTRY_BYTES));
+        }
+        let entry_bytes = need.job.len() + ENTRY_BYTES;
+        self.find_page(entry_bytes).map(|page| (page, entry_bytes))
+    }
+
     fn is_write_due(&self, now: Micros, used: Resources) -> bool {
         // A write with an unknown outcome limits jobs to the smaller of two allocations until the version increases.
         let is_due = self.team.is_settling_due(now) || self.has_changed_requests(now);
@@ -340,7 +467,7 @@
         let limit = self.team.limit;
         let is_relaxed = used.cpus < limit.cpus / 2
             && used.gpus < limit.gpus / 2
-            && self.bytes < self.input.value_bytes / 4 * 3;
+            && (self.input.max_pages > 1 || self.space.is_first_page_relaxed());
         if is_relaxed {
             now < self.team.last_write + RELAXED_RELEASE_INTERVAL
         } else {
@@ -360,18 +487,3 @@
     waiting.sort_unstable_by_key(|job| job.place);
     waiting
 }
-
-/// Encodes a team's record.
-fn encode_record(
-    allocations: &BTreeMap<String, Resources>,
-    notes: &BTreeMap<String, AllocationNote>,
-) -> Value {
-    let note = |job: &str| notes.get(job).copied().unwrap_or_default();
-    let allocated =
-        allocations.iter().map(|(job, allocation)| (job.clone(), note(job).encode_entry(*allocation)));
-    let waiting = notes
-        .iter()
-        .filter(|(job, note)| note.request.is_some() && !allocations.contains_key(*job))
-        .map(|(job, note)| (job.clone(), note.encode_entry(Resources::default())));
-    Value::Object(allocated.chain(waiting).collect())
-}
--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -1,12 +1,15 @@
 //! Cache of the teams' records, and the state of the writes to them.
 
-use super::allocation::{AllocationInput, AllocationPass, AllocationWrite, QuotaNeed};
+use super::allocation::{AllocationInput, AllocationPass, QuotaNeed};
 use super::allocation_notes::AllocationNote;
+use super::allocation_write::AllocationWrite;
+use super::record_pages::{self, FIRST_PAGE, RecordPages};
 use super::tier::{self, QuotaTier};
 use super::{UNLIMITED, sum};
 use crate::config::settings::TeamSettings;
+use crate::state_store::KeyValue;
 use crate::units::{Micros, Resources};
-use serde_json::{Map, Value};
+use serde_json::Value;
 use std::collections::BTreeMap;
 
 /// How often a record is read while a job led by this controller lacks quota.
@@ -33,7 +36,12 @@
     pub(super) allocations: BTreeMap<String, Resources>,
     /// The other parts of the entries, by job.
     pub(super) notes: BTreeMap<String, AllocationNote>,
+    /// The version of the record: that of its first page.
     pub(super) version: u64,
+    /// The other pages.
+    pub(super) pages: RecordPages,
+    /// Whether the record has, or had when it was last read or written, several pages, so that all must be read at once.
+    is_paged: bool,
     /// Whether the record has been read in this epoch.
     is_read: bool,
     /// Whether a read or write of the record is in flight.
@@ -59,6 +67,8 @@
             allocations: BTreeMap::new(),
             notes: BTreeMap::new(),
             version: 0,
+            pages: RecordPages::default(),
+            is_paged: false,
             is_read: false,
             is_busy: false,
             in_flight: None,
@@ -70,6 +80,24 @@
         }
     }
 
+    /// Adds the entries of a page to those of the record.
+    fn apply_page(&mut self, team: &str, number: u32, value: &Value, version: u64) {
+        let Some(entries) = record_pages::entries(value) else { return };
+        if number != FIRST_PAGE {
+            self.pages.add(number, version, entries.keys());
+        }
+        for (job, entry) in entries {
+            let Some((allocation, note)) = AllocationNote::decode_entry(entry) else {
+                tracing::error!(team, job, "malformed quota allocation");
+                continue;
+            };
+            if allocation.cpus > 0 || allocation.gpus > 0 {
+                self.allocations.insert(job.clone(), allocation);
+            }
+            self.notes.insert(job.clone(), note);
+        }
+    }
+
     /// Whether a write may be sent: the record has been read, and no request is in flight.
     pub(super) fn can_write(&self) -> bool {
         self.is_read && !self.is_busy
@@ -221,39 +249,72 @@
         }
     }
 
-    /// Applies a team's record and version as read from the store; None if there is no record. A malformed record
-    /// counts as not read.
+    /// Applies the first page of a team's record and its version as read from the store; None if there is no record. If it
+    /// is the first of several, all of them must be read at once: see [`QuotaLedger::is_paged`].
     pub fn apply_record(&mut self, team: &str, record: Option<(&Value, u64)>) {
+        if !record.is_some_and(|(value, _)| record_pages::is_first_of_several(value)) {
+            return self.apply_pages(team, record.into_iter().map(|page| (FIRST_PAGE, page)));
+        }
+        self.require_read(team);
+        if let Some(quota) = self.teams.get_mut(team) {
+            quota.is_paged = true;
+        }
+    }
+
+    /// Applies a team's record as read from the store by one request for all keys that begin like its key. The rows of
+    /// other teams come last and are ignored. If there are more rows and these may be the record's, it counts as not read.
+    pub fn apply_rows(&mut self, team: &str, rows: &[KeyValue], has_more: bool) {
+        let numbered = |row: &KeyValue| record_pages::page_number(team, &row.key);
+        if has_more && rows.last().is_some_and(|row| numbered(row).is_some()) {
+            tracing::error!(team, "quota record too long to be read at once");
+            return self.require_read(team);
+        }
+        let pages: Vec<(u32, (&Value, u64))> =
+            rows.iter().filter_map(|row| Some((numbered(row)?, (&row.value, row.store_version)))).collect();
+        self.apply_pages(team, pages.into_iter());
+    }
+
+    /// Applies the pages of a team's record. A malformed record counts as not read.
+    fn apply_pages<'a>(&mut self, team: &str, pages: impl Iterator<Item = (u32, (&'a Value, u64))>) {
         let Some(quota) = self.teams.get_mut(team) else { return };
         quota.is_busy = false;
-        let version = record.map_or(0, |(_, version)| version);
+        let pages: BTreeMap<u32, (&Value, u64)> = pages.collect();
+        let first = pages.get(&FIRST_PAGE).copied();
+        let version = first.map_or(0, |(_, version)| version);
         // Ignores an answer that arrives after a newer one. The version only increases and a record is never deleted,
         // and an older record may hold larger allocations than jobs have now.
         if version < quota.version {
             return;
         }
-        let empty = Map::new();
-        let Some(entries) = record.map_or(Some(&empty), |(value, _)| value.as_object()) else {
+        if pages.values().any(|(value, _)| record_pages::entries(value).is_none()) {
             tracing::error!(team, "malformed quota record");
             return;
-        };
+        }
+        quota.is_paged = first.is_some_and(|(value, _)| record_pages::is_first_of_several(value));
         quota.allocations.clear();
         quota.notes.clear();
-        for (job, entry) in entries {
-            let Some((allocation, note)) = AllocationNote::decode_entry(entry) else {
-                tracing::error!(team, job, "malformed quota allocation");
-                continue;
-            };
-            if allocation.cpus > 0 || allocation.gpus > 0 {
-                quota.allocations.insert(job.clone(), allocation);
-            }
-            quota.notes.insert(job.clone(), note);
+        quota.pages = RecordPages::default();
+        for (number, (value, version)) in pages {
+            quota.apply_page(team, number, value, version);
         }
         quota.version = version;
         quota.is_read = true;
         quota.settle_older(version);
     }
 
+    /// Whether a team's record has several pages. They must be read by one request, because separate ones could show
+    /// them at different times.
+    #[must_use]
+    pub fn is_paged(&self, team: &str) -> bool {
+        self.teams.get(team).is_some_and(|team| team.is_paged)
+    }
+
+    /// Whether a team's record may have several pages.
+    #[must_use]
+    pub fn can_be_paged(&self, team: &str) -> bool {
+        !record_pages::is_ambiguous(team, self.teams.keys())
+    }
+
     /// Requires that the record is read again as soon as possible.
     pub fn require_read(&mut self, team: &str) {
         if let Some(team) = self.teams.get_mut(team) {
@@ -331,6 +392,12 @@
         let Some(team) = self.teams.get_mut(&write.team) else { return };
         team.is_busy = false;
         if version > team.version {
+            let is_paged = record_pages::is_first_of_several(&write.value);
+            if is_paged != team.is_paged {
+                tracing::info!(team = %write.team, is_paged, "quota record changed between one and several pages");
+            }
+            team.is_paged = is_paged;
+            team.pages = write.committed_pages(version);
             team.allocations = write.allocations;
             team.notes = write.notes;
             team.version = version;
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -30,7 +30,8 @@
     can_release: impl Fn(&str) -> bool,
 ) -> Option<AllocationWrite> {
     let (is_led_locally, can_release) = (&is_led_locally, &can_release);
-    let input = AllocationInput { team: "t", needs, is_led_locally, can_release, value_bytes: 4096 };
+    let input =
+        AllocationInput { team: "t", needs, is_led_locally, can_release, value_bytes: 4096, max_pages: 1 };
     ledger.next_write(now, &input)
 }
 
--- a/tests/compat.rs
+++ b/tests/compat.rs
@@ -388,6 +388,7 @@
             is_led_locally: &|_| true,
             can_release: &ended(left),
             value_bytes,
+            max_pages: 1,
         };
         quota.next_write(Micros(60_000_000), &input)
     };
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -356,11 +356,36 @@
         is_led_locally: &is_led_locally,
         can_release: &|_| false,
         value_bytes,
+        max_pages: 1,
     };
     let write = quota.next_write(Micros(60_000_000), &input);
     write.expect("a change").value
 }
 
+/// A record of two pages, by key.
+fn team_pages() -> Value {
+    let quota_of = |value_bytes| {
+        let needs: Vec<QuotaNeed> = (1..=4)
+            .map(|job| QuotaNeed { more_tasks: 1, ..need(&format!("wk-{job:06}"), 9000, ACCEPTED) })
+            .collect();
+        let mut quota = QuotaLedger::new(&settings().teams);
+        quota.apply_record("vision", None);
+        let input = AllocationInput {
+            team: "vision",
+            needs: &needs,
+            is_led_locally: &|_| true,
+            can_release: &|_| false,
+            value_bytes,
+            max_pages: 2,
+        };
+        quota.next_write(Micros(60_000_000), &input).expect("a change")
+    };
+    // Space for two entries of the size that is reserved for one.
+    let write = quota_of(150);
+    let [second] = &write.pages[..] else { panic!("not two pages") };
+    json!({"team/vision": write.value, second.key.as_str(): second.value})
+}
+
 /// Claims of two and three parts, and one of six parts that waits for free resources.
 fn team() -> Value {
     let before = json!({"wk-000001": [9000, 0], "wk-000002": [9000, 2, 1_789_999_999]});
@@ -457,6 +482,7 @@
         ("epoch".into(), serde_json::to_value(epoch()).expect("plain")),
         ("machines".into(), page_of(&rows)),
         ("team".into(), team()),
+        ("team/pages".into(), team_pages()),
         ("ledger".into(), CoordinationRecord::open(1, ledger().body()).to_value()),
         ("pact/pages".into(), pages.into()),
     ];
@@ -491,6 +517,19 @@
     assert!(updated.as_object_mut().expect("claims").remove("wk-000005").is_some());
     again("team", updated);
 
+    let rows: Vec<KeyValue> = golden["team/pages"]
+        .as_object()
+        .expect("pages")
+        .iter()
+        .map(|(key, value)| KeyValue { key: key.clone(), value: value.clone(), store_version: 5 })
+        .collect();
+    let mut quota = QuotaLedger::new(&settings().teams);
+    quota.apply_rows("vision", &rows, false);
+    assert!(quota.is_paged("vision"));
+    for job in 1..=4 {
+        assert_eq!(quota.allocation("vision", &format!("wk-{job:06}")).cpus, 9000);
+    }
+
     let record = CoordinationRecord::read(&golden["ledger"]).expect("a record");
     let read = Ledger::read(&record.body).expect("a ledger");
     assert_eq!(read, ledger());
--- a/tests/town/mod.rs
+++ b/tests/town/mod.rs
@@ -341,6 +341,7 @@
                 is_led_locally: &is_led_locally,
                 can_release: &|j| leader.has_released_resources(j),
                 value_bytes: 4096,
+                max_pages: 1,
             };
             let write = self.quota[i].next_write(now, &input);
             let Some(write) = write else { continue };
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -11,6 +11,7 @@
 mod lost;
 mod pairs;
 mod plain;
+mod quota;
 mod refused;
 mod register;
 mod releases;
