Tell peers of cancelled jobs, and call no overdue follower queued

Cause: the leader of a following job learns of the cancelled end from the state service alone, while its right to answer also rests on messages with its peers; and a job whose cancellation is certain was called pending until its own end was on record.

Evidence: in a run of the case on the code before, the two controllers that are served end the first jobs at 11:10:56, and the refused one, which leads the second ones, logs "prerequisite was cancelled" at 11:11:49, when the service is back.

Change: controllers announce each cancelled job to their peers until it is acknowledged (Message::CancelledJobs, format version 6), and the leader of jobs that follow it, also through others, cancels them. From half of cancel_s on, a follower of a cancelled job, or of one whose end has not been looked for here, is answered with 503 until its end is on record; at once if this controller has not led it from its acceptance. A live record of a waiting job is no longer an answer to a poll.

Why it works: what is announced is on record or follows from a record, so it stays true over epochs, repeats and delays; a leader without a lease at the state service has its right only while every peer's frames arrive, which bring the announcement too. 503 is no older answer than any; "aborted" before the record could be followed by one, so that is not said.

Fixtures: "reads" is 6, and two kinds of frame are new; nothing else changed.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -5,6 +5,7 @@
 //! I/O or blocks, so the simulated cluster in the tests runs the same code as production. Each responsibility
 //! keeps its state in a struct of its own, and `Controller` has one field for each of them.
 
+mod cancelled_jobs;
 mod coordination;
 mod dependencies;
 mod fencing_probe;
@@ -25,6 +26,7 @@
 mod status;
 mod user_requests;
 
+use self::cancelled_jobs::CancelledJobs;
 use self::coordination::{CoordinationRecords, PendingRecordRequest};
 use self::dependencies::Dependencies;
 use self::fencing_probe::FencingProbes;
@@ -205,6 +207,7 @@
     proxy_acceptances: ProxyAcceptances,
     format_versions: FormatVersions,
     dependencies: Dependencies,
+    cancelled_jobs: CancelledJobs,
     coordination: CoordinationRecords,
     freshness: Freshness,
     releases: Releases,
@@ -269,6 +272,7 @@
             proxy_acceptances: ProxyAcceptances::default(),
             format_versions: FormatVersions::default(),
             dependencies: Dependencies::default(),
+            cancelled_jobs: CancelledJobs::default(),
             coordination: CoordinationRecords::default(),
             freshness: Freshness::default(),
             releases: Releases::default(),
--- a/src/controller/dependencies.rs
+++ b/src/controller/dependencies.rs
@@ -186,7 +186,7 @@
     pub(super) fn apply_dependency_outcome(&mut self, now: Micros, job: &str, answer: StoreAnswer) {
         match answer {
             StoreAnswer::Got(Some(row)) => self.apply_outcome(now, job, &row.value),
-            StoreAnswer::Got(None) => {}
+            StoreAnswer::Got(None) => self.job_shard.confirm_live_dependency(job),
             _ => {
                 self.job_shard.retry_dependency_read(job);
                 self.dependencies.retry_at = now + RETRY_DELAY;
--- a/src/controller/format_versions.rs
+++ b/src/controller/format_versions.rs
@@ -8,14 +8,17 @@
 
 /// The newest format version that this build reads and that its member key lists. Builds of version 1 list
 /// none. Version 2 adds jobs that follow others, version 3 hand-off and replicated starts, version 4
-/// releases, batches and loans, version 5 quota records of several pages.
-pub(super) const CURRENT_FORMAT_VERSION: u64 = 5;
+/// releases, batches and loans, version 5 quota records of several pages, version 6 announcements of
+/// cancelled jobs.
+pub(super) const CURRENT_FORMAT_VERSION: u64 = 6;
 /// The first version in which jobs may follow others; it added `Message::InheritedPriorities`.
 const DEPENDENCIES_FORMAT_VERSION: u64 = 2;
 /// The first version in which jobs may name releases and batches.
 pub(super) const COORDINATION_FORMAT_VERSION: u64 = 4;
 /// The first version that reads quota records of several pages.
 const QUOTA_PAGES_FORMAT_VERSION: u64 = 5;
+/// The first version that reads `Message::CancelledJobs`.
+pub(super) const CANCELLED_JOBS_FORMAT_VERSION: u64 = 6;
 /// Key of the newest version that all controllers have read at the same time, so that a controller that is
 /// merely absent need not be waited for. The key is listed together with the member keys; builds of version 1
 /// skip it because it is no member's name.
--- a/src/controller/peer_traffic.rs
+++ b/src/controller/peer_traffic.rs
@@ -167,6 +167,9 @@
             Message::HandoffAck(numbers) if frame.echo_boot == self.boot => {
                 self.handoff.apply_acknowledgements(from, &numbers)
             }
+            // What is announced is true in every epoch.
+            Message::CancelledJobs(jobs) => self.apply_cancelled_jobs(now, from, jobs, out),
+            Message::CancelledJobsAck(jobs) => self.cancelled_jobs.apply_acknowledgement(from, &jobs),
             Message::ForwardRequest { id, request } => {
                 self.handle_user_request(now, Caller::Peer { peer: from, request: id }, request, out)
             }
@@ -365,6 +368,7 @@
         let peers = self.settings.members.len();
         let mut local_frames = Vec::new();
         self.send_inherited_priorities(now, out);
+        self.send_cancelled_jobs(now, out);
         for peer in 0..peers {
             let machines = self.peer_traffic.links[peer].misrouted.take_unreported();
             if !machines.is_empty() {
--- a/src/controller/user_requests.rs
+++ b/src/controller/user_requests.rs
@@ -156,7 +156,7 @@
         } else if matches!(request, UserRequest::Permit(..)) && self.job_shard.outcome_of(&id).is_some() {
             return Some(Reply::error(409, "the job has ended"));
         }
-        if let Some(state) = self.job_state(&id) {
+        if let Some(state) = self.job_state(now, &id) {
             return Some(match request {
                 UserRequest::Cancel(_) => {
                     let outcome =
@@ -205,7 +205,10 @@
     }
 
     /// The state of a job, if it is known here.
-    fn job_state(&self, id: &str) -> Option<Reply> {
+    fn job_state(&self, now: Micros, id: &str) -> Option<Reply> {
+        if self.job_shard.is_overdue_orphan(now, self.rounds.wall, id) {
+            return Some(Reply::retry_later("a job that it follows is cancelled, or may be"));
+        }
         let mut body = if let Some((stance, done, running)) = self.job_shard.user_status(id) {
             users::job_state_body(id, stance, done, running)
         } else {
@@ -223,6 +226,9 @@
     /// wait for its cancellation.
     pub(super) fn finish_job(&mut self, now: Micros, id: &str, outcome: JobOutcome, out: &mut Vec<Effect>) {
         self.job_shard.end_job(id, outcome);
+        if outcome == JobOutcome::Cancelled {
+            self.announce_cancelled_job(id);
+        }
         let callers = self.user_requests.cancellations.remove(id).unwrap_or_default();
         self.reply_to_all(now, callers, &Reply::json(200, &users::outcome_body(id, outcome)), out);
     }
--- a/src/controller/user_requests/lookups.rs
+++ b/src/controller/user_requests/lookups.rs
@@ -206,7 +206,10 @@
         out: &mut Vec<Effect>,
     ) {
         let done = match answer {
-            StoreAnswer::Got(Some(row)) => JobShard::read_record(&row.value).map(|(.., done)| done.len()),
+            StoreAnswer::Got(Some(row)) => JobShard::read_record(&row.value)
+                // Only the leader knows whether a job that a waiting one follows has been cancelled.
+                .filter(|(_, spec, ..)| spec.dependencies.is_empty())
+                .map(|(.., done)| done.len()),
             _ => None,
         };
         let reply = match done {
--- a/src/controller/user_requests/submissions.rs
+++ b/src/controller/user_requests/submissions.rs
@@ -325,7 +325,7 @@
         }
         // The job's outcome may be known already, since the record can be read before the response to its
         // write arrives.
-        let state_if_ended = self.job_shard.outcome_of(id).and_then(|_| self.job_state(id));
+        let state_if_ended = self.job_shard.outcome_of(id).and_then(|_| self.job_state(now, id));
         let reply = state_if_ended.unwrap_or_else(|| Reply::json(201, &users::accepted_body(id)));
         self.reply_to_all(now, callers, &reply, out);
         self.answer_repeated_submissions(now, id, &description, late_callers, out);
--- a/src/job_shard.rs
+++ b/src/job_shard.rs
@@ -112,6 +112,9 @@
     gang_wait: Micros,
     /// How long a machine's leader keeps answering the machine after the last message from the job's leader.
     leader_silence_limit: Micros,
+    /// How long a job that follows a cancelled one may still be called queued: half of the time that users allow, since
+    /// this controller may have learned of the cancellation late.
+    orphan_grace: Micros,
     /// Time from which no controller of an older epoch can still be answering workers.
     older_epochs_stopped_at: Micros,
     objectives: Vec<Objective>,
@@ -167,6 +170,7 @@
             loans: Loans::new(settings.operators.loans.clone()),
             gang_wait: settings.gang_wait,
             leader_silence_limit: settings.reach,
+            orphan_grace: Micros(settings.cancel.0 / 2),
             older_epochs_stopped_at: Micros(0),
             objectives: settings.objectives.clone(),
             guarantees: settings
--- a/src/job_shard/dependencies.rs
+++ b/src/job_shard/dependencies.rs
@@ -22,6 +22,9 @@
     declarations, decode_description, encode_released, encode_waiting, released_at,
 };
 
+/// Number of jobs remembered as cancelled, for jobs accepted later that follow them.
+const MAX_KNOWN_CANCELLED: usize = 2000;
+
 /// Why no task of a job may start, apart from its dependencies. Only a controller that has verified that the
 /// reason is gone lifts the hold.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,6 +62,12 @@
     dependents_by_dependency: BTreeMap<String, BTreeSet<String>>,
     /// Dependencies whose outcome must be read, since no watch would report it.
     unread_dependencies: BTreeSet<String>,
+    /// Dependencies whose final records have not been looked for here yet.
+    unconfirmed_dependencies: BTreeSet<String>,
+    /// Jobs that are certain to be cancelled, as far as this process has learned.
+    known_cancelled: BTreeSet<String>,
+    /// Jobs that have become orphans since they were last taken.
+    newly_orphaned: Vec<String>,
     /// By controller, the jobs led here that its waiting jobs depend on, with the highest priority of those.
     needed_by_peers: BTreeMap<usize, BTreeMap<String, u8>>,
     /// Jobs that held rotations of this shard wait for, with the highest priority of those.
@@ -83,11 +92,19 @@
                 if jobs.is_empty() {
                     self.dependents_by_dependency.remove(dependency);
                     self.unread_dependencies.remove(dependency);
+                    self.unconfirmed_dependencies.remove(dependency);
                 }
             }
         }
     }
 
+    fn note_cancelled(&mut self, job: &str) {
+        if self.known_cancelled.len() >= MAX_KNOWN_CANCELLED {
+            self.known_cancelled.clear();
+        }
+        self.known_cancelled.insert(job.to_owned());
+    }
+
     fn inherited_priority(&self, job: &str) -> u8 {
         self.needed_by_peers.values().filter_map(|needed| needed.get(job)).copied().max().unwrap_or(0)
     }
@@ -126,10 +143,17 @@
 }
 
 impl JobShard {
-    /// Registers a new job's dependencies and computes the priority that the job inherits.
+    /// Registers a job's dependencies and computes the priority that the job inherits.
     pub(super) fn register_dependencies(&mut self, id: &str) {
         if let Some(job) = self.jobs.get(id) {
-            self.dependents.add(id, &job.unfinished_dependencies);
+            let dependencies = &job.unfinished_dependencies;
+            self.dependents.add(id, dependencies);
+            self.dependents.unconfirmed_dependencies.extend(dependencies.iter().cloned());
+            let known_cancelled = &self.dependents.known_cancelled;
+            let cancelled = dependencies.iter().find(|job| known_cancelled.contains(*job)).cloned();
+            if let Some(dependency) = cancelled {
+                self.apply_cancelled_dependency(&dependency);
+            }
         }
         self.inherit_priority(id);
     }
@@ -150,6 +174,9 @@
         self.dependents
             .unread_dependencies
             .retain(|dependency| dependents_by_dependency.contains_key(dependency));
+        self.dependents
+            .unconfirmed_dependencies
+            .retain(|dependency| dependents_by_dependency.contains_key(dependency));
         let needed_by_peers = std::mem::take(&mut self.dependents.needed_by_peers);
         for id in needed_by_peers.into_values().flat_map(BTreeMap::into_keys) {
             self.inherit_priority(&id);
@@ -181,31 +208,94 @@
         }
     }
 
+    /// Handles that a dependency had no final record when it was looked for, after the watch on final records had begun.
+    pub fn confirm_live_dependency(&mut self, dependency: &str) {
+        self.dependents.unconfirmed_dependencies.remove(dependency);
+    }
+
     /// Handles the stored outcome of a dependency: its dependents are released, or cancelled with it.
     pub fn apply_dependency_outcome(&mut self, dependency: &str, end: JobOutcome) {
-        self.dependents.unread_dependencies.remove(dependency);
-        for id in self.dependents.dependents_by_dependency.remove(dependency).unwrap_or_default() {
+        match end {
+            JobOutcome::Done => self.apply_completed_dependency(dependency),
+            JobOutcome::Cancelled => self.apply_cancelled_dependency(dependency),
+        }
+    }
+
+    fn apply_completed_dependency(&mut self, dependency: &str) {
+        for id in self.take_dependents(dependency) {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
-            match end {
-                JobOutcome::Done => {
-                    job.unfinished_dependencies.remove(dependency);
-                    if !job.is_waiting() {
-                        job.released_wall = Some(self.wall_clock.max(job.accepted_wall));
-                        let waited = self.wall_clock.since(job.accepted_wall).as_secs();
-                        tracing::info!(job = %id, last = dependency, waited, "all dependencies done");
-                    }
-                }
-                // The job keeps waiting until its own final record is stored.
-                JobOutcome::Cancelled => {
-                    if self.cancel(&id) {
-                        tracing::info!(job = %id, needs = dependency, "job cancelled: prerequisite was cancelled");
-                    }
-                }
+            job.unfinished_dependencies.remove(dependency);
+            if !job.is_waiting() {
+                job.released_wall = Some(self.wall_clock.max(job.accepted_wall));
+                let waited = self.wall_clock.since(job.accepted_wall).as_secs();
+                tracing::info!(job = %id, last = dependency, waited, "all dependencies done");
             }
             self.replan = true;
         }
     }
 
+    /// Handles that a dependency is cancelled for good: it is on record as cancelled, or follows a job that is. Its
+    /// dependents, direct and transitive, can only be cancelled too. They keep waiting until their own final records are
+    /// stored.
+    pub fn apply_cancelled_dependency(&mut self, dependency: &str) {
+        let mut cancelled = vec![dependency.to_owned()];
+        while let Some(dependency) = cancelled.pop() {
+            self.dependents.note_cancelled(&dependency);
+            for id in self.take_dependents(&dependency) {
+                if self.orphan(&id, &dependency) {
+                    cancelled.push(id);
+                }
+            }
+        }
+    }
+
+    /// The jobs that wait for a dependency whose outcome is known now.
+    fn take_dependents(&mut self, dependency: &str) -> BTreeSet<String> {
+        self.dependents.unread_dependencies.remove(dependency);
+        self.dependents.unconfirmed_dependencies.remove(dependency);
+        self.dependents.dependents_by_dependency.remove(dependency).unwrap_or_default()
+    }
+
+    /// Cancels a job because a dependency is cancelled. Returns whether that is new.
+    fn orphan(&mut self, id: &str, dependency: &str) -> bool {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_orphan) else { return false };
+        job.is_orphan = true;
+        if self.cancel(id) {
+            tracing::info!(job = %id, needs = dependency, "job cancelled: prerequisite was cancelled");
+        }
+        self.dependents.newly_orphaned.push(id.to_owned());
+        self.replan = true;
+        true
+    }
+
+    /// Takes the jobs that have become orphans since the last call.
+    pub fn take_newly_orphaned(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.dependents.newly_orphaned)
+    }
+
+    /// The live jobs that can only be cancelled, because they follow one that is.
+    pub fn orphans(&self) -> impl Iterator<Item = &String> {
+        self.jobs.iter().filter(|(_, job)| job.is_orphan).map(|(id, _)| id)
+    }
+
+    /// Whether a live job must not be called queued any more, because it follows a job that was, or may have been, cancelled
+    /// so long ago that its user expects its end. It is not called cancelled before its end is on record, since another
+    /// leader could say something older then.
+    pub fn is_overdue_orphan(&self, now: Micros, wall: Micros, id: &str) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let unconfirmed = &self.dependents.unconfirmed_dependencies;
+        let may_be_orphan = || job.unfinished_dependencies.iter().any(|job| unconfirmed.contains(job));
+        if !job.is_orphan && !may_be_orphan() {
+            return false;
+        }
+        // How long ago the cancellation was is known only if this controller has led the job from the beginning.
+        let known_for = match job.cancellation.since {
+            Some(since) if job.is_orphan => now.since(since),
+            _ => wall.since(job.accepted_wall),
+        };
+        !job.was_accepted_here || known_for >= self.orphan_grace
+    }
+
     /// Lifts a job's hold. The caller has verified that its reason is gone. Does nothing if the job is not
     /// held.
     pub fn lift_hold(&mut self, id: &str) {
--- a/src/job_shard/epoch_adoption.rs
+++ b/src/job_shard/epoch_adoption.rs
@@ -40,6 +40,8 @@
             next_progress: Micros(0),
             cancellation: Cancellation::default(),
             unfinished_dependencies: spec.dependencies.iter().cloned().collect(),
+            is_orphan: false,
+            was_accepted_here: false,
             hold: Hold::of(&spec, &raw_spec),
             release_due: None,
             released_wall: dependencies::released_at(&raw_spec),
@@ -171,6 +173,7 @@
         }
         let mut job = Job::from_record(raw_spec, spec, accepted_wall, done, store_version);
         job.start_knowledge = self.initial_start_knowledge(fresh);
+        job.was_accepted_here = fresh;
         if has_guarantee {
             job.quota_tier = QuotaTier::Unknown;
         }
--- a/src/job_shard/job.rs
+++ b/src/job_shard/job.rs
@@ -61,6 +61,10 @@
     pub(super) cancellation: Cancellation,
     /// Dependencies that are not known to be done.
     pub(super) unfinished_dependencies: BTreeSet<String>,
+    /// Whether a dependency is cancelled for good, so that this job can only be cancelled too.
+    pub(super) is_orphan: bool,
+    /// Whether this controller has led it since it was accepted.
+    pub(super) was_accepted_here: bool,
     /// The reason why it may not start, apart from its dependencies.
     pub(super) hold: Option<Hold>,
     /// Wall-clock time at which its release needs it.
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -84,6 +84,11 @@
     /// Since format version 4, if operators have enabled GPU lending: which GPUs the sender's jobs could lend, and
     /// which resources they lack.
     Lending(LendingReport),
+    /// Since format version 6: jobs that are cancelled for good, all that the receiver has not acknowledged. Each is on
+    /// record as cancelled, or follows one that is.
+    CancelledJobs(Vec<String>),
+    /// Since format version 6: acknowledges that the sender knows that these jobs are cancelled.
+    CancelledJobsAck(Vec<String>),
 }
 
 /// The unit of communication between controllers. Beside the message, every frame tells the receiver which epoch the
@@ -155,6 +160,7 @@
             (Demands(_), Demands(_))
             | (Reserve(_), Reserve(_))
             | (InheritedPriorities(_), InheritedPriorities(_))
+            | (CancelledJobs(_), CancelledJobs(_))
             | (ScalingPlan { .. }, ScalingPlan { .. })
             | (_, KeepAlive) => true,
             _ => false,
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -114,8 +114,8 @@
     }
 }
 
-/// An outcome touches only the jobs that wait for it, however many wait for others, and each dependency is
-/// read once, however many jobs wait for it.
+/// An outcome touches only the jobs that wait for it, directly or through others, however many wait for others, and each
+/// dependency is read once, however many jobs wait for it.
 #[test]
 fn an_outcome_touches_only_dependent_jobs() {
     let (_, mut leader) = new_leader();
@@ -130,7 +130,9 @@
     leader.apply_dependency_outcome(&id(7), JobOutcome::Cancelled);
     let touched: Vec<&String> =
         leader.jobs.iter().filter(|(_, j)| j.pending_outcome.is_some()).map(|(id, _)| id).collect();
-    assert_eq!(touched, (1070..1080).map(id).collect::<Vec<_>>().iter().collect::<Vec<_>>());
+    // The jobs 1570 to 1579 follow 1070 to 1079.
+    let expected: Vec<String> = (1070..1080).chain(1570..1580).map(id).collect();
+    assert_eq!(touched, expected.iter().collect::<Vec<_>>());
     assert!(leader.replan && !leader.is_awaited(&id(7)) && leader.is_awaited(&id(8)));
 }
 
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -202,6 +202,8 @@
         ("vouch", replicate_starts),
         ("noted", Message::ReplicationAck(5)),
         ("lending", Message::Lending(lending())),
+        ("cancelled_jobs", Message::CancelledJobs(vec![id(), "wk-1".into()])),
+        ("cancelled_jobs_ack", Message::CancelledJobsAck(vec![id()])),
         ("why", forward_request(UserRequest::Why(id()))),
         ("permit", forward_request(UserRequest::Permit(id(), "117440514/3".into()))),
         ("answer_without_time", Message::ForwardResponse { id: 8, reply: Reply::error(404, "no such job") }),
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -9,6 +9,7 @@
 mod loans;
 mod looks;
 mod lost;
+mod orphans;
 mod pairs;
 mod plain;
 mod quota;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -127,7 +127,9 @@
                         | Message::HandoffAck(_)
                         | Message::ReplicateStarts { .. }
                         | Message::ReplicationAck(_)
-                        | Message::Lending(_) => true,
+                        | Message::Lending(_)
+                        | Message::CancelledJobs(_)
+                        | Message::CancelledJobsAck(_) => true,
                         Message::ForwardRequest { request: UserRequest::Submit(_, body), .. } => {
                             let names = body.contains("\"follows\":[\"") || body.contains("\"release\":{");
                             names && !self.limited[controller]
