--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -465,6 +465,7 @@
         self.copy_delay = (2.0, 30.0)
         self.late_commands = 0.0
         self.faulty = False
+        self.addr = "127.0.0.1:9"
         world.workers[name] = self
 
     async def start(self):
