Call a waiting job queued only on evidence that nobody was told otherwise

Cause: the controller that confirmed the cancellation ended at once, and had announced it to nobody. Its next process confirms the epoch, so the others went on leading, and took it for a fact that they had heard of no cancellation. Evidence: the leader of the follower logs `prerequisite was cancelled` 55 s later, when the state service is back.

Change: a controller whose jobs wait for others asks each member of the epoch, once per digest period, whether it has anything to announce. The answer that it has not names a reading of the asker's clock, before which no user was told of a cancellation unknown here. From half of cancel_s after the oldest such reading on, a waiting job is answered with 503. A cancellation that is learned late counts from that evidence, too. Frames are unchanged: the questions are announcements with an empty list. The outcomes that are awaited are read again as an epoch begins, so that members can answer soon.

--- a/src/controller/cancelled_jobs.rs
+++ b/src/controller/cancelled_jobs.rs
@@ -5,6 +5,11 @@
 //! the same messages bring the announcements before it can answer for long. Each is repeated until it is
 //! acknowledged. What is announced never becomes untrue, so announcements may arrive late, twice, or in another
 //! epoch.
+//!
+//! A controller that ends right after it told a user of a cancellation has announced it to nobody. So a controller whose
+//! jobs wait for others asks all members once per digest period, by an empty list, whether they have anything to
+//! announce. A member without announcements answers with an empty acknowledgement. `job_shard::dependencies` decides what
+//! may be said of waiting jobs while a member does not answer.
 
 use super::format_versions::CANCELLED_JOBS_FORMAT_VERSION;
 use super::*;
@@ -26,15 +31,22 @@
     boot: u64,
     /// Oldest first.
     unacknowledged: VecDeque<String>,
+    /// Whether an announcement was dropped that this process of the peer has not acknowledged.
+    has_dropped: bool,
 }
 
 impl PeerAnnouncements {
     fn add(&mut self, job: &str) {
         if self.unacknowledged.len() >= MAX_UNACKNOWLEDGED {
             self.unacknowledged.pop_front();
+            self.has_dropped = true;
         }
         self.unacknowledged.push_back(job.to_owned());
     }
+
+    fn are_all_acknowledged(&self) -> bool {
+        self.unacknowledged.is_empty() && !self.has_dropped
+    }
 }
 
 impl CancelledJobs {
@@ -61,20 +73,49 @@
         }
     }
 
-    /// Sends the announcements that are not acknowledged. Called once per digest period.
+    /// Sends the announcements that are not acknowledged, and asks for those of other members. Called once per digest
+    /// period.
     pub(super) fn send_cancelled_jobs(&mut self, now: Micros, out: &mut Vec<Effect>) {
-        for job in self.job_shard.take_newly_orphaned() {
-            self.announce_cancelled_job(&job);
-        }
+        self.announce_newly_orphaned();
+        let is_asking = self.job_shard.has_awaited_dependencies();
         for peer in self.peers() {
             self.repeat_orphans_to_new_process(peer);
+            if self.is_known_older(peer, CANCELLED_JOBS_FORMAT_VERSION) {
+                self.job_shard.exempt_from_evidence(peer);
+            }
+            if !self.can_read_format(peer, CANCELLED_JOBS_FORMAT_VERSION) {
+                continue;
+            }
             let Some(announcements) = self.cancelled_jobs.peers.get(&peer) else { continue };
-            if !announcements.unacknowledged.is_empty()
-                && self.can_read_format(peer, CANCELLED_JOBS_FORMAT_VERSION)
-            {
-                let jobs = announcements.unacknowledged.iter().cloned().collect();
+            let jobs: Vec<String> = announcements.unacknowledged.iter().cloned().collect();
+            if !jobs.is_empty() {
                 self.send(now, peer, Message::CancelledJobs(jobs), out);
             }
+            if is_asking {
+                self.send(now, peer, Message::CancelledJobs(Vec::new()), out);
+            }
+        }
+        self.job_shard.refresh_cancellation_evidence(now);
+    }
+
+    fn announce_newly_orphaned(&mut self) {
+        for job in self.job_shard.take_newly_orphaned() {
+            self.announce_cancelled_job(&job);
+        }
+    }
+
+    /// Answers a member that asks whether there is anything to announce, if there is certainly nothing. What this
+    /// controller has announced must be acknowledged, and it must know which of its jobs were cancelled with others.
+    fn answer_without_announcements(&mut self, now: Micros, peer: usize, out: &mut Vec<Effect>) {
+        self.announce_newly_orphaned();
+        self.repeat_orphans_to_new_process(peer);
+        let announcements = self.cancelled_jobs.peers.get(&peer);
+        if self.is_active_member()
+            && self.membership.is_leader(now)
+            && self.job_shard.has_looked_for_outcomes()
+            && announcements.is_some_and(PeerAnnouncements::are_all_acknowledged)
+        {
+            self.send(now, peer, Message::CancelledJobsAck(Vec::new()), out);
         }
     }
 
@@ -87,22 +128,49 @@
             return;
         }
         announcements.boot = boot;
+        announcements.has_dropped = false;
         for job in self.job_shard.orphans() {
             announcements.add(job);
         }
     }
 
-    /// Applies a peer's announcements and acknowledges them.
+    /// Applies a peer's announcements and acknowledges them, or answers its question whether there are any here.
     pub(super) fn apply_cancelled_jobs(
         &mut self,
         now: Micros,
         from: usize,
         jobs: Vec<String>,
+        is_same_epoch: bool,
         out: &mut Vec<Effect>,
     ) {
+        let Some(first) = jobs.first() else {
+            if is_same_epoch {
+                self.answer_without_announcements(now, from, out);
+            }
+            return;
+        };
+        tracing::debug!(from, jobs = jobs.len(), first, "cancellations announced by a peer");
         for job in &jobs {
             self.job_shard.apply_cancelled_dependency(job);
         }
         self.send(now, from, Message::CancelledJobsAck(jobs), out);
     }
+
+    /// Applies a peer's acknowledgement, or its answer that it has nothing to announce. `echo` is the reading of our clock
+    /// that the peer echoes, if it is in our epoch.
+    pub(super) fn apply_cancelled_jobs_ack(
+        &mut self,
+        now: Micros,
+        from: usize,
+        jobs: &[String],
+        echo: Option<Micros>,
+    ) {
+        match echo {
+            Some(echo) if jobs.is_empty() => self.job_shard.note_nothing_to_announce(now, from, echo),
+            _ => self.cancelled_jobs.apply_acknowledgement(from, jobs),
+        }
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/controller/format_versions.rs
+++ b/src/controller/format_versions.rs
@@ -146,6 +146,12 @@
             })
     }
 
+    /// Whether a peer is known to run a build that does not read this version.
+    pub(super) fn is_known_older(&self, peer: usize, version: u64) -> bool {
+        let process = self.format_versions.processes.get(peer);
+        process.is_some_and(|process| process.version > 0 && process.version < version)
+    }
+
     /// Whether a peer reads jobs that follow others.
     pub(super) fn can_read_dependencies(&self, peer: usize) -> bool {
         self.can_read_format(peer, DEPENDENCIES_FORMAT_VERSION)
--- a/src/controller/peer_traffic.rs
+++ b/src/controller/peer_traffic.rs
@@ -168,8 +168,10 @@
                 self.handoff.apply_acknowledgements(from, &numbers)
             }
             // What is announced is true in every epoch.
-            Message::CancelledJobs(jobs) => self.apply_cancelled_jobs(now, from, jobs, out),
-            Message::CancelledJobsAck(jobs) => self.cancelled_jobs.apply_acknowledgement(from, &jobs),
+            Message::CancelledJobs(jobs) => self.apply_cancelled_jobs(now, from, jobs, is_same_epoch, out),
+            Message::CancelledJobsAck(jobs) => {
+                self.apply_cancelled_jobs_ack(now, from, &jobs, is_same_epoch.then_some(echo))
+            }
             Message::ForwardRequest { id, request } => {
                 self.handle_user_request(now, Caller::Peer { peer: from, request: id }, request, out)
             }
--- a/src/controller/user_requests/held_requests.rs
+++ b/src/controller/user_requests/held_requests.rs
@@ -61,7 +61,9 @@
         let job = request.job();
         let is_question = matches!(request, UserRequest::Query(_) | UserRequest::Submit(..));
         let state_refusal = self.job_shard.state_refusal(now, self.rounds.wall, job);
-        if is_question && state_refusal == Some(Refusal::DependencyUnread) {
+        let is_known_soon =
+            matches!(state_refusal, Some(Refusal::DependencyUnread | Refusal::DependencyUncertain));
+        if is_question && is_known_soon {
             return state_refusal;
         }
         let is_being_stored = !self.is_known_job(job) && self.user_requests.submissions.contains_key(job);
--- a/src/job_shard/dependencies.rs
+++ b/src/job_shard/dependencies.rs
@@ -16,10 +16,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod awaited_dependencies;
+mod outcome_evidence;
 mod stored_form;
 
 use awaited_dependencies::AwaitedDependencies;
 pub use awaited_dependencies::{DependencyCounts, DependencyRead};
+use outcome_evidence::OutcomeEvidence;
 pub use stored_form::declarations_in_record;
 pub(crate) use stored_form::unpack_job_ids;
 pub(super) use stored_form::{
@@ -63,6 +65,8 @@
 pub(super) struct Dependents {
     /// The dependencies whose outcomes are unknown, so that an outcome only touches the jobs that wait for it.
     awaited: AwaitedDependencies,
+    /// Up to when none of them can have been cancelled.
+    evidence: OutcomeEvidence,
     /// Jobs that are certain to be cancelled, as far as this process has learned.
     known_cancelled: BTreeSet<String>,
     /// Jobs that have become orphans since they were last taken.
@@ -138,9 +142,13 @@
         self.dependents.awaited.remove(id, &job.unfinished_dependencies);
     }
 
-    /// Adopts a new epoch: peers send the inherited priorities of their waiting jobs again.
-    pub(super) fn retain_dependents(&mut self) {
+    /// Adopts a new epoch: peers send the inherited priorities of their waiting jobs, and evidence, again.
+    pub(super) fn retain_dependents(&mut self, membership: &Membership) {
         self.dependents.awaited.retain_dependents(&self.jobs);
+        // The watch would tell within two seconds what ended in the last epoch. Until then nobody could be told that there is
+        // nothing to announce.
+        self.dependents.awaited.require_reads();
+        self.dependents.evidence.adopt_epoch(membership.adopted_at, membership.others());
         let needed_by_peers = std::mem::take(&mut self.dependents.needed_by_peers);
         for id in needed_by_peers.into_values().flat_map(BTreeMap::into_keys) {
             self.inherit_priority(&id);
@@ -161,8 +169,8 @@
     }
     /// Begins the next read of a dependency's final record that is due. Later changes are reported by a watch that
     /// began before the read.
-    pub fn begin_dependency_read(&mut self) -> Option<DependencyRead> {
-        self.dependents.awaited.begin_read()
+    pub fn begin_dependency_read(&mut self, now: Micros) -> Option<DependencyRead> {
+        self.dependents.awaited.begin_read(now)
     }
     /// Handles a failed read of a dependency's outcome: it is read again if a job still waits for it.
     pub fn retry_dependency_read(&mut self, dependency: &str) {
@@ -172,6 +180,35 @@
     pub fn note_absent_outcome(&mut self, read: &DependencyRead) {
         self.dependents.awaited.note_absent(read);
     }
+    /// Handles an answer to the watch on final records, after its changes were applied. The request was sent at `sent_at`.
+    pub fn note_outcomes_watched(&mut self, sent_at: Micros) {
+        self.dependents.evidence.note_watched(sent_at);
+    }
+    /// Handles a member's answer that it has nothing to announce: before the reading `echo` of this controller's clock it
+    /// told no user of a cancellation that this controller has not acknowledged.
+    pub fn note_nothing_to_announce(&mut self, now: Micros, member: usize, echo: Micros) {
+        self.dependents.evidence.note_nothing_to_announce(member, echo);
+        self.refresh_cancellation_evidence(now);
+    }
+    /// Handles that a member can't be asked whether it has anything to announce.
+    pub fn exempt_from_evidence(&mut self, member: usize) {
+        self.dependents.evidence.exempt(member);
+    }
+    /// Updates up to when all cancellations are known here.
+    pub fn refresh_cancellation_evidence(&mut self, now: Micros) {
+        if self.has_looked_for_outcomes() {
+            self.dependents.evidence.refresh(now);
+        }
+    }
+    /// Whether the final records of all awaited dependencies have been looked for in this epoch, so that this controller
+    /// knows which of its jobs were cancelled with others in earlier epochs.
+    pub fn has_looked_for_outcomes(&self) -> bool {
+        let Dependents { awaited, evidence, .. } = &self.dependents;
+        self.loaded
+            && awaited
+                .known_absences()
+                .all(|known| known.is_some_and(|absence| evidence.is_of_this_epoch(absence)))
+    }
     /// How many dependencies are awaited, and what has been read of them.
     pub fn dependency_counts(&self) -> DependencyCounts {
         self.dependents.awaited.counts()
@@ -215,8 +252,10 @@
 
     /// Cancels a job because a dependency is cancelled. Returns whether that is new.
     fn orphan(&mut self, id: &str, dependency: &str) -> bool {
-        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_orphan) else { return false };
-        job.is_orphan = true;
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.orphaned_after.is_none()) else {
+            return false;
+        };
+        job.orphaned_after = Some(self.dependents.evidence.known_until());
         if self.cancel(id) {
             tracing::info!(job = %id, needs = dependency, "job cancelled: prerequisite was cancelled");
         }
@@ -232,7 +271,7 @@
 
     /// The live jobs that can only be cancelled, because they follow one that is.
     pub fn orphans(&self) -> impl Iterator<Item = &String> {
-        self.jobs.iter().filter(|(_, job)| job.is_orphan).map(|(id, _)| id)
+        self.jobs.iter().filter(|(_, job)| job.orphaned_after.is_some()).map(|(id, _)| id)
     }
 
     /// Why a live job must not be called queued any more: it follows a job that was, or may have been, cancelled so long
@@ -240,20 +279,24 @@
     /// could say something older then.
     pub fn state_refusal(&self, now: Micros, wall: Micros, id: &str) -> Option<Refusal> {
         let job = self.jobs.get(id)?;
-        let awaited = &self.dependents.awaited;
-        let refusal = if job.is_orphan {
-            Refusal::EndPending
+        let Dependents { awaited, evidence, .. } = &self.dependents;
+        let since_acceptance = wall.since(job.accepted_wall);
+        let (refusal, uncertain_for) = if let Some(orphaned_after) = job.orphaned_after {
+            (Refusal::EndPending, now.since(orphaned_after))
         } else if job.unfinished_dependencies.iter().any(|dependency| awaited.is_unread(dependency)) {
-            Refusal::DependencyUnread
-        } else {
+            (Refusal::DependencyUnread, since_acceptance)
+        } else if job.unfinished_dependencies.is_empty() {
             return None;
+        } else {
+            let uncertain_for = now.since(evidence.known_until());
+            if uncertain_for < self.orphan_grace {
+                return None;
+            }
+            (Refusal::DependencyUncertain, uncertain_for)
         };
-        // How long ago the cancellation was is known only if this controller has led the job from the beginning.
-        let known_for = match job.cancellation.since {
-            Some(since) if job.is_orphan => now.since(since),
-            _ => wall.since(job.accepted_wall),
-        };
-        (!job.was_accepted_here || known_for >= self.orphan_grace).then_some(refusal)
+        // What is known of a job since its acceptance is known only if this controller has led it from the beginning.
+        let may_be_queued = job.was_accepted_here && uncertain_for.min(since_acceptance) < self.orphan_grace;
+        (!may_be_queued).then_some(refusal)
     }
 
     /// Lifts a job's hold. The caller has verified that its reason is gone. Does nothing if the job is not
--- a/src/job_shard/epoch_adoption.rs
+++ b/src/job_shard/epoch_adoption.rs
@@ -40,7 +40,7 @@
             next_progress: Micros(0),
             cancellation: Cancellation::default(),
             unfinished_dependencies: spec.dependencies.iter().cloned().collect(),
-            is_orphan: false,
+            orphaned_after: None,
             was_accepted_here: false,
             hold: Hold::of(&spec, &raw_spec),
             release_due: None,
@@ -83,7 +83,7 @@
             }
             is_kept(id)
         });
-        self.retain_dependents();
+        self.retain_dependents(membership);
         self.end_queue.retain_live(&self.jobs);
         self.outcomes.clear();
         self.jobs.values_mut().for_each(Job::adopt_epoch);
--- a/src/job_shard/job.rs
+++ b/src/job_shard/job.rs
@@ -61,8 +61,8 @@
     pub(super) cancellation: Cancellation,
     /// Dependencies that are not known to be done.
     pub(super) unfinished_dependencies: BTreeSet<String>,
-    /// Whether a dependency is cancelled for good, so that this job can only be cancelled too.
-    pub(super) is_orphan: bool,
+    /// Set once a dependency is cancelled for good: a time before which no user can have been told of that.
+    pub(super) orphaned_after: Option<Micros>,
     /// Whether this controller has led it since it was accepted.
     pub(super) was_accepted_here: bool,
     /// The reason why it may not start, apart from its dependencies.
--- a/src/peer/refusal.rs
+++ b/src/peer/refusal.rs
@@ -36,6 +36,9 @@
     EndPending,
     /// Whether a job that it follows is cancelled has not been read yet.
     DependencyUnread,
+    /// A job that it follows may have been cancelled: neither the state service nor all other controllers could tell of it
+    /// for some time.
+    DependencyUncertain,
     /// Not all jobs that a submission follows have been looked up.
     DependenciesToLookUp,
     /// A job that a submission follows could not be looked up.
@@ -60,7 +63,7 @@
 
 impl Refusal {
     /// All reasons.
-    pub const ALL: [Refusal; 25] = [
+    pub const ALL: [Refusal; 26] = [
         Refusal::NoRing,
         Refusal::TakingOver,
         Refusal::LeaderSilent,
@@ -76,6 +79,7 @@
         Refusal::EndNotOnRecord,
         Refusal::EndPending,
         Refusal::DependencyUnread,
+        Refusal::DependencyUncertain,
         Refusal::DependenciesToLookUp,
         Refusal::DependencyUnreadable,
         Refusal::MachineTypesUnknown,
@@ -107,6 +111,7 @@
             Refusal::EndNotOnRecord => "the job's end could not be put on record",
             Refusal::EndPending => "a job that it follows is cancelled, and its own end is not on record yet",
             Refusal::DependencyUnread => "whether a job that it follows is cancelled has not been read yet",
+            Refusal::DependencyUncertain => "whether a job that it follows is cancelled can't be known now",
             Refusal::DependenciesToLookUp => "some of the jobs that it follows are still to be looked up",
             Refusal::DependencyUnreadable => "a job that it follows could not be read",
             Refusal::MachineTypesUnknown => "machine types are not known yet",
--- a/tests/world/days/orphans.rs
+++ b/tests/world/days/orphans.rs
@@ -3,6 +3,7 @@
 
 use super::compound::*;
 use crate::*;
+use rand::seq::IndexedRandom;
 
 const CANCEL: u64 = CANCEL_S as u64 * S;
 /// How long the state store is out: longer than `cancel_s`.
@@ -70,6 +71,125 @@
     assert!(told_in_time > 6, "{told_in_time} users were told of a cancellation before the outage");
 }
 
+/// Adds jobs that run for long, jobs that follow them, and jobs that follow these. Returns the first ones, and all others by
+/// the first one that they follow.
+fn add_chains(w: &mut World) -> (Vec<String>, BTreeMap<String, Vec<String>>) {
+    w.run(0, 20 * S);
+    let first = add_long_jobs(w, CANCELLED_JOBS, 300 * S);
+    w.run(0, 40 * S);
+    let mut followers: BTreeMap<String, Vec<String>> =
+        first.iter().map(|id| (id.clone(), vec![add_follower(w, id)])).collect();
+    w.run(0, 50 * S);
+    for chain in followers.values_mut() {
+        let last = add_follower(w, &chain[0]);
+        chain.push(last);
+    }
+    w.run(0, 65 * S);
+    (first, followers)
+}
+
+/// Guards against followers that are called queued because the only controller that knows of a cancellation has ended: its
+/// next process confirms the epoch to the others, which go on leading, and knows nothing of it.
+#[test]
+fn follower_is_not_called_queued_after_the_leader_of_a_cancelled_job_has_restarted_in_an_outage() {
+    let mut told = 0;
+    for seed in 4720..4735 {
+        let mut w = World::new(seed, Shape { machines: 12, zone_capacity: 12, jobs: 0, ..SMALL });
+        w.answer_gaps.pollers = true;
+        print_log_on_panic(seed, &mut w, |w| {
+            let (first, followers) = add_chains(w);
+            let ending = seed as usize % 3;
+            let is_led = |id: &String| job_leader(w, id) == Some(ending);
+            let cancelled: Vec<String> = first.into_iter().filter(is_led).collect();
+            w.refuse((ending + 1 + seed as usize / 3 % 2) % 3, 2 * S);
+            let until = w.now + S;
+            w.run(0, until);
+            for id in &cancelled {
+                w.cancel_job(ending, id);
+            }
+            let until = w.now + S / 10;
+            w.run(0, until);
+            told += cancelled.iter().filter(|id| w.jobs[*id].cancelled_at.is_some()).count();
+            w.crash_for(ending, 8 * S..9 * S);
+            let outage_at = w.now + S;
+            w.run(0, outage_at);
+            w.outage_until = outage_at + OUTAGE;
+            w.run(0, outage_at + OUTAGE);
+            cancel_all(w, &cancelled, 30 * S);
+            w.run(0, outage_at + OUTAGE + 70 * S);
+            for id in cancelled {
+                assert_all_cancelled(w, &followers[&id]);
+            }
+        });
+    }
+    assert!(told > 9, "{told} users were told of a cancellation before its leader ended");
+}
+
+/// Guards against followers that are refused an answer in an outage although no controller could have told of a cancellation.
+#[test]
+fn followers_are_answered_throughout_an_outage_in_which_no_controller_ends() {
+    for seed in 4740..4744 {
+        let mut w = World::new(seed, Shape { machines: 12, zone_capacity: 12, jobs: 0, ..SMALL });
+        print_log_on_panic(seed, &mut w, |w| {
+            let (_, followers) = add_chains(w);
+            w.outage_until = w.now + OUTAGE;
+            let until = w.now + OUTAGE - 8 * S;
+            w.run(0, until);
+            for (number, id) in followers.into_values().flatten().enumerate() {
+                let reply = w.ask(number % 3, UserRequest::Query(id.clone()));
+                assert_eq!(reply.status, 200, "{id}: {reply:?}");
+            }
+        });
+    }
+}
+
+/// Time of a question and its answer (`World::ask`).
+const QUESTION: u64 = S / 10;
+/// Time to notice that a controller has ended, to raise the epoch and to read the records.
+const TAKEOVER: u64 = S;
+/// Two digest periods of 0.5 s: to ask the other members for evidence, and to get their answers.
+const EVIDENCE: u64 = S;
+
+/// The time from now until questions about all these jobs are answered, each through any controller that runs.
+fn time_to_answers(w: &mut World, ids: &[String]) -> u64 {
+    let from = w.now;
+    let mut left: Vec<&String> = ids.iter().collect();
+    while !left.is_empty() {
+        assert!(w.now < from + MAX_SILENCE, "{left:?}");
+        let running: Vec<usize> = (0..3).filter(|controller| w.nodes[*controller].is_some()).collect();
+        let controller = *running.choose(&mut w.rng).expect("a controller");
+        let id = left.remove(0);
+        if w.ask(controller, UserRequest::Query(id.clone())).status != 200 {
+            left.push(id);
+        }
+    }
+    w.now - from
+}
+
+/// Guards against evidence that takes longer than the takeover itself.
+#[test]
+fn followers_are_answered_soon_after_a_change_of_leaders() {
+    for seed in 4750..4756 {
+        let mut w = World::new(seed, Shape { machines: 12, zone_capacity: 12, jobs: 0, ..SMALL });
+        print_log_on_panic(seed, &mut w, |w| {
+            let (_, followers) = add_chains(w);
+            let followers: Vec<String> = followers.into_values().flatten().collect();
+            // A controller that is back at once raises the epoch; one that is not loses its lease first.
+            for (pause, lease) in [(S / 5, 0), (12 * S, (LEASE_S * 1e6) as u64 / 3 + S)] {
+                w.crash_for(seed as usize % 3, pause..pause + S / 10);
+                let restart_at = w.now + pause + S / 10;
+                let left = time_to_answers(w, &followers);
+                w.run(0, restart_at.max(w.now));
+                let returned = time_to_answers(w, &followers);
+                let bound = TAKEOVER + EVIDENCE + followers.len() as u64 * QUESTION;
+                assert!(left <= lease + bound && returned <= bound, "seed {seed}: {left}, {returned} µs");
+                let until = w.now + 15 * S;
+                w.run(0, until);
+            }
+        });
+    }
+}
+
 /// When the job that 400 others follow is cancelled.
 const CANCELLED_AT: u64 = 140 * S;
 
