Stop an ended task that runs again

After `forget` a worker carries out a repeated start command of the same attempt once more.

Change: the machine's leader kills a task that is to be forgotten and runs; the job's leader counts an ended attempt that a confirmed list shows running as one that may be running, and stops it.

--- a/src/job_shard/reconciliation.rs
+++ b/src/job_shard/reconciliation.rs
@@ -82,6 +82,20 @@
         self.tasks.iter().find(is_match).map(|observed| observed.phase)
     }
 
+    /// An attempt on the machine that this shard has not started.
+    fn unknown_attempt(&self, now: Micros, attempt: u64, phase: TaskPhase) -> Assignment {
+        Assignment {
+            machine: self.name.to_owned(),
+            zone: self.snapshot.map(|machine| machine.zone.clone()).unwrap_or_default(),
+            attempt,
+            action: DesiredAction::Keep,
+            first_revision: UNSENT,
+            phase: Some(phase),
+            phase_since: now,
+            adopted: true,
+        }
+    }
+
     /// Whether an attempt that the machine does not list is certainly not there and never will be.
     /// `first_revision` is that of the first message that contained the attempt.
     fn rules_out(&self, first_revision: u64) -> bool {
@@ -212,6 +226,7 @@
 
     fn apply_machine_report(&mut self, now: Micros, membership: &Membership, report: &MachineReport) {
         self.update_assignments(now, report);
+        self.stop_attempts_that_run_again(now, report);
         self.update_retired_attempts(report);
         self.handle_unknown_attempts(now, membership, report);
         if report.inventory != InventoryState::Unconfirmed {
@@ -235,6 +250,33 @@
         }
     }
 
+    /// Stops attempts that have ended and run again. A worker that has forgotten an attempt carries out a repeated start
+    /// command once more. Until such an attempt has ended again, it counts like any other that may be running.
+    fn stop_attempts_that_run_again(&mut self, now: Micros, report: &MachineReport) {
+        // An unconfirmed list may be older than the end.
+        if report.inventory != InventoryState::Known {
+            return;
+        }
+        let running_phase = |task: &TaskKey| {
+            let phase = report.phase_of(&task.job, task.index, task.attempt)?;
+            (phase.has_arrived() && !matches!(phase, TaskPhase::Exited(_))).then_some(phase)
+        };
+        let running_again: Vec<(TaskKey, TaskPhase)> = self
+            .retired_starts
+            .on_machine(report.name)
+            .filter(|(_, alive)| !alive)
+            .filter_map(|(task, _)| Some((task.clone(), running_phase(task)?)))
+            .collect();
+        for (task, phase) in running_again {
+            let TaskKey { job, index, attempt } = &task;
+            tracing::warn!(%job, task = index, machine = report.name, attempt, "ended task runs again: stopping it");
+            let key = RetiredStartKey::new(job, *index, report.name, *attempt);
+            let resources = self.retired_starts.get(&key).map(|start| start.resources).unwrap_or_default();
+            let start = report.unknown_attempt(now, *attempt, phase);
+            self.retire_attempt(job, *index, &start, Retirement::stopped(resources));
+        }
+    }
+
     fn update_retired_attempts(&mut self, report: &MachineReport) {
         let phase_of = |task: &TaskKey| report.phase_of(&task.job, task.index, task.attempt);
         let key_of = |task: &TaskKey| RetiredStartKey::new(&task.job, task.index, report.name, task.attempt);
@@ -320,16 +362,7 @@
             {
                 continue;
             }
-            let start = Assignment {
-                machine: report.name.to_owned(),
-                zone: report.snapshot.map(|machine| machine.zone.clone()).unwrap_or_default(),
-                attempt: key.attempt,
-                action: DesiredAction::Keep,
-                first_revision: UNSENT,
-                phase: Some(observed.phase),
-                phase_since: now,
-                adopted: true,
-            };
+            let start = report.unknown_attempt(now, key.attempt, observed.phase);
             if self.jobs.get(&key.job).is_some_and(|job| can_adopt(job, observed)) {
                 tracing::info!(job = %key.job, task = key.index, machine = report.name, epoch = membership.epoch, "task adopted");
                 self.adopt_attempt(&key.job, key.index, start);
--- a/src/job_shard/tests.rs
+++ b/src/job_shard/tests.rs
@@ -321,3 +321,43 @@
         assert_eq!(waiting, 2, "in pass {i}");
     }
 }
+
+/// Guards against a task that counts as ended while it runs again: a worker that has forgotten it carries out a repeated start
+/// command once more. Meanwhile it is not started on another machine.
+#[test]
+fn ended_attempt_that_runs_again_is_stopped_and_blocks_its_task() {
+    let (membership, quota, mut shard, mut machine) = shard_with_job(raw("batch", 1, 0.0));
+    let mut sequence = 0;
+    let mut report = |shard: &mut JobShard, machine: &MachineStatus, revision: u64| {
+        sequence += 1;
+        let status = whole_status(&membership, sequence, revision, vec![machine.clone()]);
+        shard.apply_machine_status(Micros::from_millis(1000), &membership, 0, status);
+    };
+    report(&mut shard, &machine, 0);
+    shard.run_scheduling_pass(Micros::from_millis(1000), Micros(1), &membership, &quota);
+    let start = shard.next_desired_state(0, &membership);
+    let key = start.tasks[0].key.clone();
+    machine.tasks = vec![ObservedTask { key: key.clone(), phase: TaskPhase::Exited(TaskExit::Error) }];
+    report(&mut shard, &machine, start.revision);
+    let forget = shard.next_desired_state(0, &membership);
+    assert_eq!(forget.tasks[0].action, DesiredAction::Forget);
+    machine.tasks[0].phase = TaskPhase::Running;
+    machine.inventory_state = InventoryState::Unconfirmed;
+    report(&mut shard, &machine, forget.revision);
+    assert_eq!(shard.next_desired_state(0, &membership).tasks, [], "the list may be older than the end");
+    machine.inventory_state = InventoryState::Known;
+    report(&mut shard, &machine, forget.revision);
+    let stop = shard.next_desired_state(0, &membership);
+    assert_eq!(
+        stop.tasks.iter().map(|task| (&task.key, task.action)).collect::<Vec<_>>(),
+        [(&key, DesiredAction::Stop(Micros(0)))]
+    );
+    shard.run_scheduling_pass(Micros::from_millis(60_000), Micros(1), &membership, &quota);
+    assert_eq!(shard.next_desired_state(0, &membership).tasks, stop.tasks, "no other attempt is started");
+    machine.tasks.clear();
+    report(&mut shard, &machine, stop.revision + 1);
+    shard.run_scheduling_pass(Micros::from_millis(61_000), Micros(1), &membership, &quota);
+    let again = shard.next_desired_state(0, &membership);
+    assert_eq!(again.tasks[0].action, DesiredAction::Run);
+    assert_ne!(again.tasks[0].key, key);
+}
--- a/src/machine_shard/commands.rs
+++ b/src/machine_shard/commands.rs
@@ -80,6 +80,12 @@
                 TaskPhase::Fetching | TaskPhase::Waiting | TaskPhase::Running | TaskPhase::Saving,
                 Some(DesiredAction::Stop(grace)),
             ) => Some(Command::Kill(key.clone(), grace)),
+            // Its job leader has seen it end: it runs again, for example because a start command was repeated after the
+            // worker had forgotten it.
+            (
+                TaskPhase::Fetching | TaskPhase::Waiting | TaskPhase::Running | TaskPhase::Saving,
+                Some(DesiredAction::Forget),
+            ) => Some(Command::Kill(key.clone(), Micros(0))),
             _ => None,
         }
     }
@@ -89,7 +95,7 @@
         match self.desired {
             Some(DesiredAction::Run) => self.phase == TaskPhase::Queued && can_start(),
             Some(DesiredAction::Stop(_)) => self.is_live(),
-            Some(DesiredAction::Forget) => !self.is_live(),
+            Some(DesiredAction::Forget) => true,
             _ => false,
         }
     }
--- a/src/machine_shard/job_leader_liveness.rs
+++ b/src/machine_shard/job_leader_liveness.rs
@@ -134,7 +134,7 @@
             // The response itself carries the command to stop the task.
             (
                 TaskPhase::Fetching | TaskPhase::Waiting | TaskPhase::Running | TaskPhase::Saving,
-                Some(DesiredAction::Stop(_)),
+                Some(DesiredAction::Stop(_) | DesiredAction::Forget),
             ) => true,
             _ => {
                 let not_cancelled_before = self.not_cancelled_before(&task.job_leader_evidence);
--- a/src/machine_shard/tests.rs
+++ b/src/machine_shard/tests.rs
@@ -157,6 +157,34 @@
     assert_eq!(issue_starts(&mut shard, &membership), 1);
 }
 
+/// Guards against a task that runs on because its job leader has seen it end and the worker was asked to forget it: a repeated
+/// start command starts it once more then.
+#[test]
+fn a_task_to_forget_that_runs_again_is_killed_at_once() {
+    let (membership, mut shard) = shard_with_registered_machine();
+    let forget = DesiredTask { action: DesiredAction::Forget, ..desired_start(1, 1000) };
+    let mut verbs_after = |sequence: u64, state: &str| {
+        shard.apply_heartbeat(Micros(10), &membership, &heartbeat(sequence, 7, &[("wk-1/0", 1, state)]));
+        let revision = sequence;
+        shard.apply_desired_state(
+            Micros(11),
+            0,
+            &full_state(revision, vec![forget.clone()]),
+            &membership,
+            |_| Some(CAPACITY),
+        );
+        assert!(!shard.can_hold_response(Micros(12), "i-1", |_| Some(CAPACITY), |_| true));
+        assert!(shard.can_renew_lease(Micros(12), "i-1"), "the response carries the command");
+        let response = shard.issue_commands(&membership, "i-1", |_| true).expect("known");
+        response.commands.iter().map(|command| command.verb().to_owned()).collect::<Vec<_>>()
+    };
+    assert_eq!(verbs_after(2, "ended"), ["forget"]);
+    for (sequence, state) in [(3, "pulling"), (4, "running"), (5, "flushing"), (6, "waiting")] {
+        assert_eq!(verbs_after(sequence, state), ["kill"], "{state}");
+    }
+    assert_eq!(verbs_after(7, "ended"), ["forget"]);
+}
+
 /// Guards against a cancelled job's task that runs on for longer than `cancel_s` after its machine's leader has
 /// changed. The message to stop it may arrive before the machine's first heartbeat, and is sent only once.
 #[test]
--- a/tests/world/days/mod.rs
+++ b/tests/world/days/mod.rs
@@ -7,6 +7,7 @@
 mod compound;
 mod followers;
 mod gap;
+mod late_copies;
 mod loans;
 mod looks;
 mod lost;
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -97,6 +97,7 @@
                 }
                 Some(Ticket::Worker(worker_index, seq)) => {
                     self.count_isolated_answer(controller, worker_index, &reply);
+                    self.schedule_late_copy(|| LateCopy::Response(worker_index, seq, reply.clone()));
                     if let Some(travel_time) = self.delay_to_worker(controller, worker_index) {
                         self.schedule(travel_time, SimEvent::WorkerAnswer(worker_index, seq, reply));
                     }
@@ -152,6 +153,7 @@
                 }
                 let bytes = frame.encode().expect("frames can be encoded");
                 let decoded = hazelsaddle::peer::Frame::decode(&bytes[4..]).expect("frames can be decoded");
+                self.schedule_late_copy(|| LateCopy::Frame(peer, Box::new(decoded.clone())));
                 let is_handoff = matches!(frame.body, Message::Handoff { .. } | Message::HandoffAck(_));
                 self.handoff_batches += usize::from(matches!(frame.body, Message::Handoff { .. }));
                 let copies = match is_handoff
@@ -221,6 +223,7 @@
             Effect::FencingProbe { epoch: token, probes: list } => {
                 for g in list {
                     let Some(index) = self.workers.iter().position(|w| w.name == g.machine) else { continue };
+                    self.schedule_late_copy(|| LateCopy::Probe(controller, boot, token, g.clone()));
                     if let Some(travel_time) = self.delay_to_worker(controller, index) {
                         self.send_fencing_probe(controller, token, g, travel_time);
                     }
@@ -271,6 +274,7 @@
             SimEvent::HeldBackHeartbeat(worker_index, controller, heartbeat) => {
                 self.deliver_held_back(worker_index, controller, heartbeat)
             }
+            SimEvent::LateCopy(copy) => self.deliver_late_copy(copy),
             SimEvent::Exit(controller, boot) => {
                 if boot == self.boot_ids[controller] {
                     self.crash_for(controller, S / 20..S / 10);
--- a/tests/world/parts.rs
+++ b/tests/world/parts.rs
@@ -66,6 +66,8 @@
     Unanswered(UnansweredWrite),
     /// A copy of a worker's heartbeat that was held back for the next leader, delivered to this controller.
     HeldBackHeartbeat(usize, usize, Heartbeat),
+    /// A late copy of a message.
+    LateCopy(LateCopy),
     /// A process that was asked to shut down ends, and restarts at once.
     Exit(usize, u64),
     Cloud(usize, u64, CloudRequest),
@@ -207,6 +209,7 @@
     pub(crate) zones: Zones,
     pub(crate) cancels: Cancels,
     pub(crate) commands: Commands,
+    pub(crate) copies: LateCopies,
     /// The recorded effects of the controllers, if a test compares them.
     pub(crate) trace: Option<Trace>,
     pub(crate) log: Vec<String>,
@@ -267,6 +270,7 @@
             zones: Zones::default(),
             cancels: Cancels::default(),
             commands: Commands::default(),
+            copies: LateCopies::default(),
             trace: None,
             log: Vec::new(),
         };
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -1,6 +1,7 @@
 //! The workers: heartbeats, commands, leases and gangs.
 
 use super::*;
+use hazelsaddle::peer::TaskKey;
 
 impl Worker {
     fn heartbeat(&self) -> Heartbeat {
@@ -184,6 +185,8 @@
                     until: now + fetch,
                 });
                 if cause.is_none() {
+                    let key = TaskKey { job: job.to_owned(), index, attempt };
+                    self.record_start(worker_index, key);
                     self.starts += 1;
                     self.workers[worker_index].has_run_tasks = true;
                     self.check_task_start(job, index);
@@ -207,7 +210,10 @@
                     t.cause = Some("stopped");
                 }
             }
-            "forget" => self.workers[worker_index].tasks.retain(|t| !(is_same(t) && t.state == "ended")),
+            "forget" => {
+                self.workers[worker_index].tasks.retain(|t| !(is_same(t) && t.state == "ended"));
+                self.repeat_start(worker_index, TaskKey { job: job.to_owned(), index, attempt });
+            }
             other => panic!("unknown command {other}"),
         }
         self.workers[worker_index].changed = true;
