Ask for evidence of cancellations in one message with the announcements

Cause: announcements and the question were two messages of one kind, and in the send queue of a link a newer list replaces an older one, so that the announcements never arrived and no member could answer.

Change: one message carries both. And a member answers once it has looked for the outcomes awaited when the epoch began: with a stream of new jobs some later look is always under way.

--- a/src/controller/cancelled_jobs.rs
+++ b/src/controller/cancelled_jobs.rs
@@ -87,13 +87,11 @@
                 continue;
             }
             let Some(announcements) = self.cancelled_jobs.peers.get(&peer) else { continue };
+            // A newer list replaces one that is still queued, so an empty one must not follow another.
             let jobs: Vec<String> = announcements.unacknowledged.iter().cloned().collect();
-            if !jobs.is_empty() {
+            if is_asking || !jobs.is_empty() {
                 self.send(now, peer, Message::CancelledJobs(jobs), out);
             }
-            if is_asking {
-                self.send(now, peer, Message::CancelledJobs(Vec::new()), out);
-            }
         }
         self.job_shard.refresh_cancellation_evidence(now);
     }
--- a/src/controller/dependencies.rs
+++ b/src/controller/dependencies.rs
@@ -115,8 +115,7 @@
                 if self.has_awaited_outcomes() && self.state_store.request_limiter.take(now, 1.0, 0.1) =>
             {
                 self.dependencies.watch = Watch::Starting;
-                let pending = PendingStoreRequest::ReadRevision { sent_at: now };
-                self.send_store_request(pending, StoreRequest::Revision, out);
+                self.send_store_request(PendingStoreRequest::ReadRevision, StoreRequest::Revision, out);
             }
             Watch::At { revision, request_in_flight: false } => self.extend_watch(now, revision, out),
             _ => {}
@@ -132,7 +131,7 @@
         } else if self.state_store.request_limiter.take(now, 1.0, 0.1) {
             self.dependencies.watch = Watch::At { revision, request_in_flight: true };
             let watch = StoreRequest::Watch("done/".into(), revision, WATCH_DURATION);
-            self.send_store_request(PendingStoreRequest::WatchOutcomes { sent_at: now }, watch, out);
+            self.send_store_request(PendingStoreRequest::WatchOutcomes, watch, out);
         }
     }
 
@@ -140,15 +139,15 @@
         while self.state_store.in_flight.len() < MAX_IN_FLIGHT
             && self.state_store.request_limiter.level(now) >= 0.2
         {
-            let Some(dependency_read) = self.job_shard.begin_dependency_read(now) else { break };
+            let Some(dependency_read) = self.job_shard.begin_dependency_read() else { break };
             self.state_store.request_limiter.take(now, 1.0, 0.0);
             let request = StoreRequest::Get(format!("done/{}", dependency_read.dependency));
             self.send_store_request(PendingStoreRequest::ReadOutcome(dependency_read), request, out);
         }
     }
 
-    /// Applies the response to the watch, or to the request for the store's revision before it, sent at `sent_at`.
-    pub(super) fn apply_watch_answer(&mut self, now: Micros, sent_at: Micros, answer: StoreAnswer) {
+    /// Applies the response to the watch, or to the request for the store's revision before it.
+    pub(super) fn apply_watch_answer(&mut self, now: Micros, answer: StoreAnswer) {
         match (self.dependencies.watch, answer) {
             (Watch::Starting, StoreAnswer::CurrentRevision(revision)) => {
                 // Outcomes stored before this revision must be read; the watch reports later ones.
@@ -162,7 +161,6 @@
                 let revision = revision.max(newest);
                 self.dependencies.watch = Watch::At { revision, request_in_flight: false };
                 self.apply_watched_outcomes(now, &written);
-                self.job_shard.note_outcomes_watched(sent_at);
             }
             (Watch::At { revision, .. }, answer) if answer != StoreAnswer::Compacted => {
                 self.dependencies.retry_at = now + RETRY_DELAY;
--- a/src/controller/state_store_io.rs
+++ b/src/controller/state_store_io.rs
@@ -79,12 +79,8 @@
     Freshness(PendingFreshnessRequest),
     Lending(PendingLoanRequest),
     /// Reads the store's revision from which outcomes are watched, and watches them.
-    ReadRevision {
-        sent_at: Micros,
-    },
-    WatchOutcomes {
-        sent_at: Micros,
-    },
+    ReadRevision,
+    WatchOutcomes,
     /// Reads the final record of a job that others follow.
     ReadOutcome(DependencyRead),
     /// Reads the live record of a job that a submission names, and if there is none its final record.
@@ -199,9 +195,7 @@
             Coordination(pending) => self.apply_coordination_answer(now, pending, answer, out),
             Freshness(pending) => self.apply_freshness_answer(now, pending, answer, out),
             Lending(pending) => self.apply_loan_answer(now, pending, answer),
-            ReadRevision { sent_at } | WatchOutcomes { sent_at } => {
-                self.apply_watch_answer(now, sent_at, answer)
-            }
+            ReadRevision | WatchOutcomes => self.apply_watch_answer(now, answer),
             ReadOutcome(read) => self.apply_dependency_outcome(now, &read, answer),
             CheckDependency { job, dependency } => {
                 self.apply_dependency_check(now, job, dependency, answer, out)
--- a/src/job_shard/dependencies.rs
+++ b/src/job_shard/dependencies.rs
@@ -127,7 +127,7 @@
     pub(super) fn register_dependencies(&mut self, id: &str) {
         if let Some(job) = self.jobs.get(id) {
             let dependencies = &job.unfinished_dependencies;
-            self.dependents.awaited.add(id, dependencies);
+            self.dependents.awaited.add(id, dependencies, !self.loaded);
             let known_cancelled = &self.dependents.known_cancelled;
             let cancelled = dependencies.iter().find(|job| known_cancelled.contains(*job)).cloned();
             if let Some(dependency) = cancelled {
@@ -147,8 +147,8 @@
         self.dependents.awaited.retain_dependents(&self.jobs);
         // The watch would tell within two seconds what ended in the last epoch. Until then nobody could be told that there is
         // nothing to announce.
-        self.dependents.awaited.require_reads();
-        self.dependents.evidence.adopt_epoch(membership.adopted_at, membership.others());
+        self.dependents.awaited.begin_epoch();
+        self.dependents.evidence.adopt_epoch(membership.others());
         let needed_by_peers = std::mem::take(&mut self.dependents.needed_by_peers);
         for id in needed_by_peers.into_values().flat_map(BTreeMap::into_keys) {
             self.inherit_priority(&id);
@@ -169,8 +169,8 @@
     }
     /// Begins the next read of a dependency's final record that is due. Later changes are reported by a watch that
     /// began before the read.
-    pub fn begin_dependency_read(&mut self, now: Micros) -> Option<DependencyRead> {
-        self.dependents.awaited.begin_read(now)
+    pub fn begin_dependency_read(&mut self) -> Option<DependencyRead> {
+        self.dependents.awaited.begin_read()
     }
     /// Handles a failed read of a dependency's outcome: it is read again if a job still waits for it.
     pub fn retry_dependency_read(&mut self, dependency: &str) {
@@ -180,10 +180,6 @@
     pub fn note_absent_outcome(&mut self, read: &DependencyRead) {
         self.dependents.awaited.note_absent(read);
     }
-    /// Handles an answer to the watch on final records, after its changes were applied. The request was sent at `sent_at`.
-    pub fn note_outcomes_watched(&mut self, sent_at: Micros) {
-        self.dependents.evidence.note_watched(sent_at);
-    }
     /// Handles a member's answer that it has nothing to announce: before the reading `echo` of this controller's clock it
     /// told no user of a cancellation that this controller has not acknowledged.
     pub fn note_nothing_to_announce(&mut self, now: Micros, member: usize, echo: Micros) {
@@ -200,14 +196,11 @@
             self.dependents.evidence.refresh(now);
         }
     }
-    /// Whether the final records of all awaited dependencies have been looked for in this epoch, so that this controller
-    /// knows which of its jobs were cancelled with others in earlier epochs.
+    /// Whether the final records of all dependencies that were awaited when the epoch began have been looked for since, so
+    /// that this controller knows which of its jobs were cancelled with others in earlier epochs. Later ones don't count:
+    /// with a stream of new jobs some dependency is always about to be read.
     pub fn has_looked_for_outcomes(&self) -> bool {
-        let Dependents { awaited, evidence, .. } = &self.dependents;
-        self.loaded
-            && awaited
-                .known_absences()
-                .all(|known| known.is_some_and(|absence| evidence.is_of_this_epoch(absence)))
+        self.loaded && !self.dependents.awaited.has_any_of_earlier_epoch()
     }
     /// How many dependencies are awaited, and what has been read of them.
     pub fn dependency_counts(&self) -> DependencyCounts {
--- a/src/job_shard/dependencies/awaited_dependencies.rs
+++ b/src/job_shard/dependencies/awaited_dependencies.rs
@@ -4,7 +4,6 @@
 //! read, such as the answers about its dependents, waits for something that is certain to come.
 
 use crate::job_shard::job::Job;
-use crate::units::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What has been read of a dependency's final record.
@@ -23,23 +22,10 @@
     /// The jobs that wait for it.
     dependents: BTreeSet<String>,
     state: ReadState,
-    /// When the last read was sent that found no final record. Kept while it is read again after a gap in the watch.
-    absent_at: Option<Micros>,
-}
-
-/// What is known of a dependency whose final record has been looked for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct KnownAbsence {
-    /// When the last read was sent that found no final record.
-    pub(super) read_at: Micros,
-    /// Whether the watch reports a later final record.
-    pub(super) is_watched: bool,
-}
-
-impl AwaitedDependency {
-    fn known_absence(&self) -> Option<KnownAbsence> {
-        Some(KnownAbsence { read_at: self.absent_at?, is_watched: self.state == ReadState::Absent })
-    }
+    /// Whether it was ever found absent. Stays true while it is read again after a gap in the watch.
+    was_absent: bool,
+    /// Whether it was awaited when the epoch began and has not been found absent since.
+    is_from_earlier_epoch: bool,
 }
 
 /// A read of a dependency's final record.
@@ -49,8 +35,6 @@
     pub dependency: String,
     /// Distinguishes its response from those of earlier reads.
     pub number: u64,
-    /// When it was sent.
-    pub sent_at: Micros,
 }
 
 /// How many dependencies are awaited, and what has been read of them.
@@ -76,11 +60,17 @@
 
 impl AwaitedDependencies {
     /// Adds a job that waits for these dependencies. Those that nothing else waits for become due to be read.
-    pub(super) fn add(&mut self, job: &str, dependencies: &BTreeSet<String>) {
+    /// `is_from_earlier_epoch` tells whether the job is taken up as the epoch begins.
+    pub(super) fn add(&mut self, job: &str, dependencies: &BTreeSet<String>, is_from_earlier_epoch: bool) {
         for dependency in dependencies {
             let awaited = self.by_dependency.entry(dependency.clone()).or_insert_with(|| {
                 self.due.insert(dependency.clone());
-                AwaitedDependency { dependents: BTreeSet::new(), state: ReadState::Due, absent_at: None }
+                AwaitedDependency {
+                    dependents: BTreeSet::new(),
+                    state: ReadState::Due,
+                    was_absent: false,
+                    is_from_earlier_epoch,
+                }
             });
             awaited.dependents.insert(job.to_owned());
         }
@@ -128,12 +118,18 @@
 
     /// Whether a dependency is awaited and its final record has never been looked for.
     pub(super) fn is_unread(&self, dependency: &str) -> bool {
-        self.by_dependency.get(dependency).is_some_and(|awaited| awaited.absent_at.is_none())
+        self.by_dependency.get(dependency).is_some_and(|awaited| !awaited.was_absent)
+    }
+
+    /// Whether a dependency that was awaited when the epoch began has yet to be looked for in it.
+    pub(super) fn has_any_of_earlier_epoch(&self) -> bool {
+        self.by_dependency.values().any(|awaited| awaited.is_from_earlier_epoch)
     }
 
-    /// What is known of each awaited dependency; None if its final record has never been looked for.
-    pub(super) fn known_absences(&self) -> impl Iterator<Item = Option<KnownAbsence>> {
-        self.by_dependency.values().map(AwaitedDependency::known_absence)
+    /// Begins an epoch: all dependencies must be read again, by reads that are sent from now on.
+    pub(super) fn begin_epoch(&mut self) {
+        self.require_reads();
+        self.by_dependency.values_mut().for_each(|awaited| awaited.is_from_earlier_epoch = true);
     }
 
     /// Makes all dependencies due to be read, after a time in which final records were not watched.
@@ -145,12 +141,12 @@
     }
 
     /// Begins the next read that is due.
-    pub(super) fn begin_read(&mut self, now: Micros) -> Option<DependencyRead> {
+    pub(super) fn begin_read(&mut self) -> Option<DependencyRead> {
         let dependency = self.due.first()?.clone();
         self.last_read += 1;
         let number = self.last_read;
         self.set_state(&dependency, ReadState::InFlight(number));
-        Some(DependencyRead { dependency, number, sent_at: now })
+        Some(DependencyRead { dependency, number })
     }
 
     /// Makes a dependency due to be read again, after a read that failed.
@@ -163,7 +159,7 @@
     pub(super) fn note_absent(&mut self, read: &DependencyRead) {
         let Some(awaited) = self.by_dependency.get_mut(&read.dependency) else { return };
         if awaited.state == ReadState::InFlight(read.number) {
-            awaited.absent_at = Some(read.sent_at);
+            (awaited.was_absent, awaited.is_from_earlier_epoch) = (true, false);
             self.set_state(&read.dependency, ReadState::Absent);
         }
     }
@@ -172,7 +168,7 @@
         DependencyCounts {
             awaited: self.by_dependency.len(),
             reads_due: self.due.len(),
-            unread: self.by_dependency.values().filter(|awaited| awaited.absent_at.is_none()).count(),
+            unread: self.by_dependency.values().filter(|awaited| !awaited.was_absent).count(),
         }
     }
 
--- a/src/job_shard/dependencies/outcome_evidence.rs
+++ b/src/job_shard/dependencies/outcome_evidence.rs
@@ -11,7 +11,6 @@
 //! the store it confirms the epoch, so the others go on leading, but it is not the process that the epoch record names,
 //! and it leads nothing. So there is no newer evidence until the next epoch.
 
-use super::awaited_dependencies::KnownAbsence;
 use crate::units::Micros;
 use std::collections::BTreeMap;
 
@@ -20,17 +19,13 @@
 pub(super) struct OutcomeEvidence {
     /// No user was told of an unknown cancellation before this.
     known_until: Micros,
-    epoch_adopted_at: Micros,
-    /// When the last answered request of the watch was sent.
-    watched_until: Micros,
     /// The latest echoed reading from each other member of the epoch that is asked; None before its first answer.
     told_until: BTreeMap<usize, Option<Micros>>,
 }
 
 impl OutcomeEvidence {
     /// Adopts a new epoch, in which no member has answered yet. What was known before stays true.
-    pub(super) fn adopt_epoch(&mut self, now: Micros, others: impl Iterator<Item = usize>) {
-        self.epoch_adopted_at = now;
+    pub(super) fn adopt_epoch(&mut self, others: impl Iterator<Item = usize>) {
         self.told_until = others.map(|member| (member, None)).collect();
     }
 
@@ -39,11 +34,6 @@
         self.told_until.remove(&member);
     }
 
-    /// Records an answer to the watch on final records.
-    pub(super) fn note_watched(&mut self, sent_at: Micros) {
-        self.watched_until = self.watched_until.max(sent_at);
-    }
-
     /// Records a member's answer: before the reading that it echoes it told no user of a cancellation that this controller
     /// has not acknowledged.
     pub(super) fn note_nothing_to_announce(&mut self, member: usize, echo: Micros) {
@@ -52,8 +42,8 @@
         }
     }
 
-    /// Updates what is known from the members' answers. Call it only while the outcomes that the jobs here wait for have
-    /// all been looked for in this epoch.
+    /// Updates what is known from the members' answers. Call it only once the outcomes that the jobs here waited for when
+    /// the epoch began have all been looked for.
     pub(super) fn refresh(&mut self, now: Micros) {
         let told_until = self.told_until.values().copied().min().unwrap_or(Some(now));
         self.known_until = self.known_until.max(told_until.unwrap_or_default());
@@ -63,13 +53,6 @@
     pub(super) fn known_until(&self) -> Micros {
         self.known_until
     }
-
-    /// Whether a final record was looked for in this epoch.
-    pub(super) fn is_of_this_epoch(&self, absence: KnownAbsence) -> bool {
-        let looked_at =
-            if absence.is_watched { absence.read_at.max(self.watched_until) } else { absence.read_at };
-        looked_at >= self.epoch_adopted_at
-    }
 }
 
 #[cfg(test)]
