Share the test for a task that is live on its worker

The job leader's look for ended attempts that run again went through all retired attempts and scanned the machine's list for each; it now goes through the list and looks each task up. The listing of quota records copied each team's rows, which `apply_rows` selects by itself. The doc comment of a refusal described an earlier form of it.

--- a/src/job_shard/reconciliation.rs
+++ b/src/job_shard/reconciliation.rs
@@ -257,22 +257,19 @@
         if report.inventory != InventoryState::Known {
             return;
         }
-        let running_phase = |task: &TaskKey| {
-            let phase = report.phase_of(&task.job, task.index, task.attempt)?;
-            (phase.has_arrived() && !matches!(phase, TaskPhase::Exited(_))).then_some(phase)
-        };
-        let running_again: Vec<(TaskKey, TaskPhase)> = self
-            .retired_starts
-            .on_machine(report.name)
-            .filter(|(_, alive)| !alive)
-            .filter_map(|(task, _)| Some((task.clone(), running_phase(task)?)))
+        let running_again: Vec<&ObservedTask> = report
+            .tasks
+            .iter()
+            .filter(|observed| observed.phase.is_live_on_worker())
+            .filter(|observed| self.retired_starts.has_ended_on_machine(report.name, &observed.key))
             .collect();
-        for (task, phase) in running_again {
-            let TaskKey { job, index, attempt } = &task;
+        for ObservedTask { key, phase } in running_again {
+            let TaskKey { job, index, attempt } = key;
             tracing::warn!(%job, task = index, machine = report.name, attempt, "ended task runs again: stopping it");
-            let key = RetiredStartKey::new(job, *index, report.name, *attempt);
-            let resources = self.retired_starts.get(&key).map(|start| start.resources).unwrap_or_default();
-            let start = report.unknown_attempt(now, *attempt, phase);
+            let retired = RetiredStartKey::new(job, *index, report.name, *attempt);
+            let resources =
+                self.retired_starts.get(&retired).map(|start| start.resources).unwrap_or_default();
+            let start = report.unknown_attempt(now, *attempt, *phase);
             self.retire_attempt(job, *index, &start, Retirement::stopped(resources));
         }
     }
@@ -424,9 +421,7 @@
             assignment.phase_since = now;
         }
         assignment.phase = Some(phase);
-        if matches!(phase, TaskPhase::Fetching | TaskPhase::Waiting | TaskPhase::Running | TaskPhase::Saving)
-            && assignment.action == DesiredAction::Run
-        {
+        if phase.is_live_on_worker() && assignment.action == DesiredAction::Run {
             assignment.action = DesiredAction::Keep;
         }
         if let TaskPhase::Exited(exit) = phase {
--- a/src/job_shard/retired_starts.rs
+++ b/src/job_shard/retired_starts.rs
@@ -177,6 +177,11 @@
         self.by_machine.get(machine).is_some_and(|tasks| tasks.contains_key(task))
     }
 
+    /// Whether an attempt on a machine has ended, and its worker is not known to have forgotten it.
+    pub(super) fn has_ended_on_machine(&self, machine: &str, task: &TaskKey) -> bool {
+        self.by_machine.get(machine).and_then(|tasks| tasks.get(task)).is_some_and(|alive| !alive)
+    }
+
     /// Machines that have retired attempts.
     pub(super) fn machines(&self) -> impl Iterator<Item = &String> {
         self.by_machine.keys()
--- a/src/machine_shard/commands.rs
+++ b/src/machine_shard/commands.rs
@@ -76,16 +76,14 @@
     fn stop_command(&self, key: &TaskKey) -> Option<Command> {
         match (self.phase, self.desired) {
             (TaskPhase::Exited(_), Some(DesiredAction::Forget)) => Some(Command::Forget(key.clone())),
-            (
-                TaskPhase::Fetching | TaskPhase::Waiting | TaskPhase::Running | TaskPhase::Saving,
-                Some(DesiredAction::Stop(grace)),
-            ) => Some(Command::Kill(key.clone(), grace)),
+            (phase, Some(DesiredAction::Stop(grace))) if phase.is_live_on_worker() => {
+                Some(Command::Kill(key.clone(), grace))
+            }
             // Its job leader has seen it end: it runs again, for example because a start command was repeated after the
             // worker had forgotten it.
-            (
-                TaskPhase::Fetching | TaskPhase::Waiting | TaskPhase::Running | TaskPhase::Saving,
-                Some(DesiredAction::Forget),
-            ) => Some(Command::Kill(key.clone(), Micros(0))),
+            (phase, Some(DesiredAction::Forget)) if phase.is_live_on_worker() => {
+                Some(Command::Kill(key.clone(), Micros(0)))
+            }
             _ => None,
         }
     }
--- a/src/machine_shard/job_leader_liveness.rs
+++ b/src/machine_shard/job_leader_liveness.rs
@@ -132,10 +132,9 @@
         match (task.phase, task.desired) {
             (TaskPhase::Exited(_) | TaskPhase::Held, _) => true,
             // The response itself carries the command to stop the task.
-            (
-                TaskPhase::Fetching | TaskPhase::Waiting | TaskPhase::Running | TaskPhase::Saving,
-                Some(DesiredAction::Stop(_) | DesiredAction::Forget),
-            ) => true,
+            (phase, Some(DesiredAction::Stop(_) | DesiredAction::Forget)) if phase.is_live_on_worker() => {
+                true
+            }
             _ => {
                 let not_cancelled_before = self.not_cancelled_before(&task.job_leader_evidence);
                 not_cancelled_before > Micros(0) && now < not_cancelled_before + self.contact_limit
--- a/src/peer/refusal.rs
+++ b/src/peer/refusal.rs
@@ -36,8 +36,7 @@
     EndPending,
     /// Whether a job that it follows is cancelled has not been read yet.
     DependencyUnread,
-    /// A job that it follows may have been cancelled: neither the state service nor all other controllers could tell of it
-    /// for some time.
+    /// A job that it follows may have been cancelled: some other member of the epoch has not denied it for some time.
     DependencyUncertain,
     /// Not all jobs that a submission follows have been looked up.
     DependenciesToLookUp,
--- a/src/peer/task.rs
+++ b/src/peer/task.rs
@@ -41,6 +41,12 @@
     pub fn has_arrived(self) -> bool {
         !matches!(self, TaskPhase::Held | TaskPhase::Queued | TaskPhase::InDoubt)
     }
+
+    /// Whether the worker has received the start command and the task has not ended.
+    #[must_use]
+    pub fn is_live_on_worker(self) -> bool {
+        self.has_arrived() && !matches!(self, TaskPhase::Exited(_))
+    }
 }
 
 /// How a task ended.
--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -285,15 +285,14 @@
     /// read, because these are listed at another time.
     pub fn apply_listed_rows(&mut self, rows: &[KeyValue], has_more: bool) {
         for team in self.team_names() {
-            let is_page = |row: &KeyValue| record_pages::page_number(&team, &row.key).is_some();
-            let pages: Vec<KeyValue> = rows.iter().filter(|row| is_page(row)).cloned().collect();
             let first_key = record_pages::page_key(&team, FIRST_PAGE);
-            let Some(first) = pages.iter().find(|row| row.key == first_key) else { continue };
+            let Some(first) = rows.iter().find(|row| row.key == first_key) else { continue };
+            let is_page = |row: &KeyValue| record_pages::page_number(&team, &row.key).is_some();
             let is_cut_short = has_more && rows.last().is_some_and(is_page);
             if is_cut_short && record_pages::is_first_of_several(&first.value) {
                 self.apply_record(&team, Some((&first.value, first.store_version)));
             } else {
-                self.apply_rows(&team, &pages, false);
+                self.apply_rows(&team, rows, false);
             }
         }
     }
